--- /dev/null
+++ b/benchlink/src/lib.rs
@@ -0,0 +1,329 @@
+//! Translates between the bench's lines and the decision module. Decides nothing.
+
+use serde_json::{json, Map, Value};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use tackmast::interface::*;
+use tackmast::policy::Scheduler;
+
+type Fields<'a> = &'a [Value];
+
+/// Text of the wire to a small number and back; each text is kept once.
+#[derive(Default)]
+struct Names {
+    numbers: HashMap<String, u32>,
+    texts: Vec<String>,
+}
+
+impl Names {
+    fn number(&mut self, text: &str) -> u32 {
+        if let Some(n) = self.numbers.get(text) {
+            return *n;
+        }
+        let n = self.texts.len() as u32;
+        self.numbers.insert(text.to_owned(), n);
+        self.texts.push(text.to_owned());
+        n
+    }
+    fn known(&self, text: &str) -> Option<u32> {
+        self.numbers.get(text).copied()
+    }
+}
+
+struct Host {
+    scheduler: Scheduler,
+    xfers: Names,
+    nodes: Names,
+    volumes: Names,
+    keys: Names,
+    armed: Option<Instant>,
+    token: u64,
+}
+
+/// All instances that this process serves.
+#[derive(Default)]
+pub struct Link {
+    hosts: BTreeMap<i64, Host>,
+    unknown: BTreeSet<String>,
+}
+
+impl Link {
+    /// Takes one batch line, gives the reply line; an error says what was wrong and what was expected.
+    pub fn batch(&mut self, line: &str) -> Result<String, String> {
+        let batch: Value =
+            serde_json::from_str(line).map_err(|e| format!("not JSON ({e}); expected a batch"))?;
+        let batch = batch.as_object().ok_or("not an object; expected a batch with wall and events")?;
+        let now = Instant::from_secs(number(batch.get("wall"), "wall")?);
+        let events = array(batch.get("events"), "events")?;
+        let mut touched = BTreeSet::new();
+        for (i, event) in events.iter().enumerate() {
+            let at = |e: String| format!("event {i}: {e}");
+            let values =
+                event.as_array().ok_or_else(|| at("not an array; expected name and values".into()))?;
+            let name = text(values.first(), "event name").map_err(at)?;
+            if let Some(host) = self.event(now, name, &values[1..]).map_err(|e| at(format!("{name}: {e}")))? {
+                touched.insert(host);
+            }
+        }
+        let mut orders = Vec::new();
+        for number in touched {
+            if let Some(host) = self.hosts.get_mut(&number) {
+                host.decide(now, number, &mut orders);
+            }
+        }
+        Ok(json!({ "orders": orders }).to_string())
+    }
+
+    fn event(&mut self, now: Instant, name: &str, v: Fields) -> Result<Option<i64>, String> {
+        let known = ["Provision", "Detach", "Fleet", "Req", "UnderWay", "Completed", "Vanished", "Alarm"];
+        if !known.contains(&name) {
+            // Probes and messages between hosts are not asked for, so their events hold nothing of use.
+            if !["Echo", "Message"].contains(&name) && self.unknown.insert(name.to_owned()) {
+                eprintln!("benchlink: skipping events of the unknown name {name}");
+            }
+            return Ok(None);
+        }
+        let number = integer(v.first(), "host")?;
+        match name {
+            "Provision" => {
+                let seed = v.get(1).and_then(Value::as_u64).ok_or("init_seed: expected a whole number")?;
+                let env = v.get(2).and_then(Value::as_object).ok_or("env: expected an object")?;
+                self.hosts.insert(number, Host::new(now, seed, env)?);
+            }
+            "Detach" => {
+                self.hosts.remove(&number);
+                return Ok(None);
+            }
+            _ => {
+                let host = self
+                    .hosts
+                    .get_mut(&number)
+                    .ok_or_else(|| format!("host {number} is unknown; expected one started"))?;
+                host.event(now, name, v)?;
+            }
+        }
+        Ok(Some(number))
+    }
+}
+
+impl Host {
+    fn new(now: Instant, seed: u64, env: &Map<String, Value>) -> Result<Self, String> {
+        let part = |name: &str| env.get(name).and_then(Value::as_object).cloned().unwrap_or_default();
+        let (domain, rules, limits) = (part("domain"), part("guarantees"), part("limits"));
+        let hosts = or(env, "balancers", 1.0)? as u32;
+        let mut s = Scheduler::new(now, seed, hosts, span(env, "granularity")?);
+        for class in env.get("request_classes").and_then(Value::as_array).into_iter().flatten() {
+            let class = class.as_object().ok_or("request_classes: expected objects")?;
+            let effect = match text(class.get("effect"), "effect")? {
+                "repeatable" => Effect::Repeatable,
+                "once" => Effect::Unrepeatable,
+                "by_key" => Effect::Keyed {
+                    group: match text(class.get("group"), "group")? {
+                        "all" => Group::All,
+                        "zone" => Group::Zone,
+                        "cell" => Group::Shard,
+                        other => return Err(format!("group {other}; expected all, zone or cell")),
+                    },
+                    window: span(class, "window")?,
+                },
+                other => return Err(format!("effect {other}; expected repeatable, by_key or once")),
+            };
+            let in_order = class.get("in_order").and_then(Value::as_bool).unwrap_or(false);
+            s.stream(span(class, "target")?, effect, in_order);
+        }
+        for plan in env.get("grades").and_then(Value::as_array).into_iter().flatten() {
+            let plan = plan.as_object().ok_or("grades: expected objects")?;
+            s.plan(
+                or(plan, "ceiling_rate", 0.0)?,
+                or(plan, "most_at_once", 0.0)?,
+                or(plan, "floor_rate", 0.0)?,
+                or(plan, "proportion", 1.0)?,
+            );
+        }
+        s.sizes(or(&domain, "unit_mean", 1.0)?);
+        let asks_clients = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
+        let longest = if asks_clients { span(&limits, "max_retry_after")? } else { Span::ZERO };
+        s.leg_limits(or(&limits, "max_attempts", f64::from(u32::MAX))? as u32, longest);
+        if rules.contains_key("look_back") {
+            s.further_leg_budget(
+                or(&rules, "extra_floor", 0.0)?,
+                or(&rules, "further_ratio", 0.0)?,
+                span(&rules, "look_back")?,
+            );
+        }
+        s.order_settle(span(&rules, "order_settle")?);
+        s.cold_nodes(
+            or(&domain, "cold_bears", 0.0)?,
+            or(&rules, "cold_from", 1.0)?,
+            span(&rules, "cold")?,
+            span(&rules, "fall")?,
+        );
+        if env.get("registry_mode").and_then(Value::as_str) == Some("ask") {
+            s.list_must_be_asked();
+        }
+        Ok(Host {
+            scheduler: s,
+            xfers: Names::default(),
+            nodes: Names::default(),
+            volumes: Names::default(),
+            keys: Names::default(),
+            armed: None,
+            token: 0,
+        })
+    }
+
+    fn event(&mut self, now: Instant, name: &str, v: Fields) -> Result<(), String> {
+        match name {
+            "Req" => {
+                let id = XferId(self.xfers.number(text(v.get(1), "tid")?));
+                let key = v.get(4).and_then(Value::as_str).map(|k| KeyId(self.keys.number(k)));
+                let shard = integer(v.get(8), "lies_in")?;
+                let (stream, plan) = (index(v.get(2), "service")?, index(v.get(3), "qos_class")?);
+                if !self.scheduler.knows(StreamId(stream), PlanId(plan)) {
+                    return Err(format!("service {stream} or qos_class {plan} is not among the settings"));
+                }
+                self.scheduler.transfer_arrived(
+                    now,
+                    id,
+                    StreamId(stream),
+                    PlanId(plan),
+                    key,
+                    Span::from_secs(number(v.get(5), "budget")?),
+                    VolumeId(self.volumes.number(text(v.get(6), "store_user")?)),
+                    number(v.get(7), "weight")?,
+                    u32::try_from(shard).ok().map(ShardId),
+                    index(v.get(9), "hosts")?,
+                );
+            }
+            "Completed" => {
+                let outcome = match text(v.get(4), "how")? {
+                    "done" => Outcome::Done,
+                    "err" => Outcome::Error,
+                    "busy" => Outcome::Full,
+                    "etimedout" => Outcome::TimedOut,
+                    "econnrefused" => Outcome::Refused,
+                    "econnreset" => Outcome::Reset,
+                    "ecanceled" => Outcome::Cancelled,
+                    "skipped" => Outcome::Skipped,
+                    other => return Err(format!("outcome {other}; expected one of the wire's eight")),
+                };
+                let leg = LegNo(index(v.get(2), "try")?);
+                let elapsed = Span::from_secs(number(v.get(5), "elapsed")?);
+                let ended = v.get(6).and_then(Value::as_bool).ok_or("ended: expected true or false")?;
+                if let Some(id) = self.xfers.known(text(v.get(1), "tid")?) {
+                    let used = v.get(7).and_then(Value::as_f64).filter(|u| *u > 0.0).map(|u| u - 1.0);
+                    let elsewhere = v.get(8).and_then(Value::as_f64).unwrap_or(0.0);
+                    self.scheduler.service_reported(now, XferId(id), leg, used, elsewhere);
+                    self.scheduler.leg_ended(now, XferId(id), leg, outcome, elapsed, ended);
+                }
+            }
+            "Vanished" => {
+                if let Some(id) = self.xfers.known(text(v.get(1), "tid")?) {
+                    self.scheduler.transfer_gone(now, XferId(id));
+                }
+            }
+            "UnderWay" => {
+                if let Some(id) = self.xfers.known(text(v.get(1), "tid")?) {
+                    self.scheduler.answer_started(now, XferId(id));
+                }
+            }
+            "Fleet" => {
+                let kind = match text(v.get(1), "how")? {
+                    "INCREMENTAL" => ListKind::Changes,
+                    "FULL" => ListKind::Complete,
+                    "SAVED" => ListKind::Saved,
+                    "FAILED" => ListKind::Failed,
+                    other => {
+                        return Err(format!("list kind {other}; expected INCREMENTAL, FULL, SAVED or FAILED"))
+                    }
+                };
+                let empty = Vec::new();
+                let lines = if kind == ListKind::Failed { &empty } else { array(v.get(3), "elements")? };
+                let entries = lines.iter().map(|e| self.entry(e)).collect::<Result<Vec<_>, _>>()?;
+                self.scheduler.nodes_changed(now, kind, &entries);
+            }
+            "Alarm" => {
+                if v.get(1).and_then(Value::as_u64).ok_or("token: expected a whole number")? == self.token {
+                    self.armed = None;
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn entry(&mut self, line: &Value) -> Result<NodeEntry, String> {
+        let v = line.as_array().ok_or("elements: expected arrays")?;
+        let up = v.get(6).and_then(Value::as_f64).filter(|t| *t > 0.0);
+        Ok(NodeEntry {
+            state: match text(v.get(1), "status")? {
+                "ready" => NodeState::Ready,
+                "draining" => NodeState::Draining,
+                "gone" => NodeState::Gone,
+                other => return Err(format!("status {other}; expected ready, draining or gone")),
+            },
+            node: NodeId(self.nodes.number(text(v.get(2), "brick")?)),
+            zone: ZoneId(index(v.get(4), "hall")?),
+            shard: ShardId(index(v.get(5), "cell")?),
+            up_since: up.map(Instant::from_secs),
+        })
+    }
+
+    fn decide(&mut self, now: Instant, number: i64, orders: &mut Vec<Value>) {
+        while let Some(d) = self.scheduler.next_decision(now) {
+            orders.push(match d {
+                Decision::Send { xfer, node, timeout } => {
+                    let (tid, brick) = (self.xfer(xfer), &self.nodes.texts[node.0 as usize]);
+                    json!(["Transmit", number, tid, brick, timeout.map_or(0.0, Span::secs)])
+                }
+                Decision::Defer { xfer, come_back } => {
+                    json!(["TurnAway", number, self.xfer(xfer), come_back.map_or(0.0, Span::secs)])
+                }
+                Decision::Abandon { xfer } => json!(["ReportFailure", number, self.xfer(xfer)]),
+                Decision::FollowList => json!(["Follow", number, true]),
+                Decision::Log(line) => json!(["SayLog", number, line]),
+            });
+        }
+        if let Some(t) = self.scheduler.next_wake().filter(|t| self.armed.is_none_or(|a| *t < a)) {
+            self.armed = Some(t);
+            self.token += 1;
+            orders.push(json!(["NotifyMe", number, (t - now).secs().max(0.0), self.token]));
+        }
+    }
+
+    fn xfer(&self, id: XferId) -> &str {
+        &self.xfers.texts[id.0 as usize]
+    }
+}
+
+fn number(v: Option<&Value>, name: &str) -> Result<f64, String> {
+    v.and_then(Value::as_f64).ok_or_else(|| format!("{name}: expected a number"))
+}
+
+fn integer(v: Option<&Value>, name: &str) -> Result<i64, String> {
+    v.and_then(Value::as_i64).ok_or_else(|| format!("{name}: expected a whole number"))
+}
+
+fn index(v: Option<&Value>, name: &str) -> Result<u32, String> {
+    let n = v.and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
+    n.ok_or_else(|| format!("{name}: expected a whole number from 0"))
+}
+
+fn text<'a>(v: Option<&'a Value>, name: &str) -> Result<&'a str, String> {
+    v.and_then(Value::as_str).ok_or_else(|| format!("{name}: expected text"))
+}
+
+fn array<'a>(v: Option<&'a Value>, name: &str) -> Result<&'a Vec<Value>, String> {
+    v.and_then(Value::as_array).ok_or_else(|| format!("{name}: expected an array"))
+}
+
+/// A setting that may be absent.
+fn or(map: &Map<String, Value>, name: &str, absent: f64) -> Result<f64, String> {
+    match map.get(name) {
+        None | Some(Value::Null) => Ok(absent),
+        found => number(found, name),
+    }
+}
+
+fn span(map: &Map<String, Value>, name: &str) -> Result<Span, String> {
+    Ok(Span::from_secs(or(map, name, 0.0)?))
+}
--- /dev/null
+++ b/src/histogram.rs
@@ -0,0 +1,48 @@
+//! A small histogram of positive numbers: a few coarse bins, halved once enough has been seen.
+
+const BINS: usize = 24;
+
+/// Bin `i` holds values up to `first * 1.5^i`; the last also holds whatever is larger.
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    first: f64,
+    halve_at: f64,
+    total: f64,
+    bins: [f64; BINS],
+}
+
+impl Histogram {
+    /// `first` is the upper edge of the lowest bin; counts are halved each time they sum to `halve_at`.
+    pub fn new(first: f64, halve_at: f64) -> Self {
+        Histogram { first, halve_at, total: 0.0, bins: [0.0; BINS] }
+    }
+
+    pub fn add(&mut self, value: f64) {
+        let steps = (value / self.first).max(1.0).ln() / 1.5f64.ln();
+        self.bins[(steps.ceil() as usize).min(BINS - 1)] += 1.0;
+        self.total += 1.0;
+        if self.total >= self.halve_at {
+            self.bins.iter_mut().for_each(|n| *n /= 2.0);
+            self.total /= 2.0;
+        }
+    }
+
+    pub fn count(&self) -> f64 {
+        self.total
+    }
+
+    /// The upper edge of the bin that holds the given part of the counts; nothing while empty.
+    pub fn at(&self, part: f64) -> Option<f64> {
+        if self.total <= 0.0 {
+            return None;
+        }
+        let mut left = part * self.total;
+        for (i, n) in self.bins.iter().enumerate() {
+            left -= n;
+            if left <= 0.0 {
+                return Some(self.first * 1.5f64.powi(i as i32));
+            }
+        }
+        Some(self.first * 1.5f64.powi(BINS as i32 - 1))
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,180 @@
+//! The types the decision module is called with and answers in. No decision is made here.
+
+use std::ops::{Add, Sub};
+
+/// A point in time, in microseconds from a start that the host chooses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Instant(i64);
+
+/// A length of time, in microseconds. Kept apart from `Instant`, so the two can't be mixed up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Span(i64);
+
+impl Instant {
+    pub fn from_secs(s: f64) -> Self {
+        Instant((s * 1e6).round() as i64)
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub fn from_secs(s: f64) -> Self {
+        Span((s * 1e6).round() as i64)
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Sub for Instant {
+    type Output = Span;
+    fn sub(self, earlier: Instant) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Instant {
+    type Output = Instant;
+    fn add(self, s: Span) -> Instant {
+        Instant(self.0.saturating_add(s.0))
+    }
+}
+
+impl Sub<Span> for Instant {
+    type Output = Instant;
+    fn sub(self, s: Span) -> Instant {
+        Instant(self.0.saturating_sub(s.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, s: Span) -> Span {
+        Span(self.0.saturating_add(s.0))
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u32);
+    )*};
+}
+
+ids! {
+    /// One client transfer; a client's next try is a new one.
+    XferId,
+    NodeId,
+    VolumeId,
+    PlanId,
+    StreamId,
+    /// A piece of data that is read or written.
+    KeyId,
+    /// The part of the data that one node holds.
+    ShardId,
+    ZoneId,
+    /// The number of a leg within its transfer, from 0.
+    LegNo,
+}
+
+/// Which nodes discard repeats of a keyed transfer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Shard,
+}
+
+/// What running a transfer again may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    Keyed { group: Group, window: Span },
+    Unrepeatable,
+}
+
+/// How a leg ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Error,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    /// No connection was made.
+    Refused,
+    Reset,
+    Cancelled,
+    /// Never sent: the transfer was over, or the node does not hold its shard.
+    Skipped,
+}
+
+impl Outcome {
+    /// Whether this outcome leaves it possible that the leg had an effect.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Full | Outcome::Refused | Outcome::Skipped)
+    }
+    /// Whether the work may go on at the node after this outcome.
+    pub fn may_be_running(self) -> bool {
+        matches!(self, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a node list came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only the entries that changed.
+    Changes,
+    /// The complete list; what it does not name is gone.
+    Complete,
+    /// The complete list as last held, perhaps out of date.
+    Saved,
+    /// A call for the list failed, or following it broke off; nothing came.
+    Failed,
+}
+
+/// One line of a node list.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeEntry {
+    pub node: NodeId,
+    pub state: NodeState,
+    pub zone: ZoneId,
+    pub shard: ShardId,
+    /// When the node last started, where that is known and recent.
+    pub up_since: Option<Instant>,
+}
+
+/// What the host is to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Send a leg; no time-out means until the client gives up.
+    Send {
+        xfer: XferId,
+        node: NodeId,
+        timeout: Option<Span>,
+    },
+    /// Final answer: not done, and a retry is safe; come back after the span, where one is given.
+    Defer {
+        xfer: XferId,
+        come_back: Option<Span>,
+    },
+    /// Final answer: not done, and no promise about its effect.
+    Abandon {
+        xfer: XferId,
+    },
+    /// Subscribe to changes of the node list.
+    FollowList,
+    Log(String),
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,945 @@
+//! Every decision of tackmast. How it is called: the host makes one `Scheduler`, tells it the settings part
+//! by part, and then reports what happens through the inputs (`transfer_arrived`, `leg_ended`,
+//! `nodes_changed`, ...), which only update what is known. After each report it pulls `next_decision(now)`
+//! until there is none and asks `next_wake` when to come back. The types are in `src/interface.rs`.
+//!
+//! The ordinary path of a transfer: it waits at its shard; its volume's limit bucket must have room; within
+//! a priority, units inside the reservation leave first, the rest by plan weight; the node's caps bound what
+//! is out. docs/design.md says where this comes from and what was added.
+
+use crate::histogram::Histogram;
+use crate::interface::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+
+const CAP_START: f64 = 8.0; // transfers out at one node, and mean sizes out
+const CAP_LEAST: f64 = 1.0;
+const CAP_MOST: f64 = 24.0;
+const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
+const CAP_CUT: f64 = 0.75;
+const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
+const EXCESS_PART: f64 = 0.7; // of the cap, for units past the reservation
+const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
+const TIGHT: f64 = 2.0; // streams within this multiple of the tightest SLO time judge the node
+const RESERVE_BURST: f64 = 1.0; // seconds of the reservation that its bucket holds
+const CREDIT_START: f64 = 2.0;
+const CREDIT_MOST: f64 = 8.0;
+const CREDIT_EARNED: f64 = 1.0;
+const HEALTH_HALVE: f64 = 16.0;
+const SICK_AFTER: f64 = 6.0; // bad answers
+const SICK_BELOW: f64 = 0.05; // part of answers that are good
+const TRICKLE: f64 = 0.1; // seconds between legs to a sick node
+const PAUSE: f64 = 0.02; // seconds before a further leg
+const BLOCKED_CHECK: f64 = 0.05; // seconds until a transfer that a guard holds is looked at again
+const COLD_DRAIN: f64 = 0.25; // of the always-safe units, each window, freed by time alone
+const LIST_RETRY: f64 = 0.3; // seconds, doubled at each failure
+const LIST_RETRY_MOST: f64 = 4.0;
+const SAFE_EDGE: f64 = 0.02; // seconds kept from the edge of any stated window
+const KEY_LOOK: usize = 16; // waiting transfers searched for one on the node's last key
+
+/// The document's alternate bucket: units are added as they are sent, drain at `rate`, and wait for room.
+#[derive(Default)]
+struct Bucket {
+    level: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn drain(&mut self, now: Instant, rate: f64) {
+        self.level = (self.level - rate * (now - self.at).secs()).max(0.0);
+        self.at = now;
+    }
+    /// How long until `units` fit under `burst`; zero when they fit now.
+    fn wait(&mut self, now: Instant, rate: f64, burst: f64, units: f64) -> Span {
+        self.drain(now, rate);
+        let over = self.level + units.min(burst) - burst;
+        if over <= 1e-9 {
+            Span::ZERO
+        } else {
+            Span::from_secs(over / rate.max(1e-6) + 1e-4)
+        }
+    }
+}
+
+struct Plan {
+    limit: f64,
+    burst: f64,
+    reserve: f64,
+    weight: f64,
+}
+
+struct Stream {
+    slo: Span,
+    rank: usize,
+    effect: Effect,
+    in_order: bool,
+    longest: Span, // the longest time a client of this stream has been seen to leave us
+}
+
+struct Volume {
+    hosts: f64,
+    limit: Bucket,
+    reserve: Bucket,
+}
+
+struct Xfer {
+    volume: VolumeId,
+    plan: PlanId,
+    stream: StreamId,
+    key: Option<KeyId>,
+    shard: Option<ShardId>,
+    any_node: bool,
+    units: f64,
+    slo_at: Instant,
+    expiry: Instant,
+    hold: Instant, // no leg before this
+    drew: bool,
+    waiting: bool,
+    ended: bool,
+    started: bool,
+    legs: u32,
+    out: Vec<Leg>,
+    ran: Option<(u32, Instant, NodeId)>, // the first leg that may have had an effect
+}
+
+struct Leg {
+    no: u32,
+    node: NodeId,
+    held: bool, // went out while the caps were what held transfers back
+}
+
+struct Node {
+    state: NodeState,
+    zone: ZoneId,
+    shard: ShardId,
+    up_since: Option<Instant>,
+    out: usize,
+    out_units: f64,
+    out_rank: Vec<usize>,
+    cap: f64,
+    cut_at: Instant,
+    credit: f64,
+    good: f64,
+    bad: f64,
+    sick: bool,
+    sent_at: Instant,
+    cold: Bucket,
+    last_key: Option<KeyId>,
+    latency: Vec<Histogram>,
+    turn: f64,
+}
+
+#[derive(Default)]
+struct Shard {
+    queues: BTreeMap<(VolumeId, StreamId), VecDeque<XferId>>,
+    late: VecDeque<XferId>,
+    nodes: BTreeSet<NodeId>,
+    tags: BTreeMap<VolumeId, f64>,
+    vtime: f64,
+}
+
+/// Further legs, as a free few plus a share of the transfers taken, over any window.
+#[derive(Default)]
+struct Budget {
+    free: f64,
+    share: f64,
+    window: Option<Span>,
+    taken: VecDeque<Instant>,
+    further: VecDeque<Instant>,
+}
+
+impl Budget {
+    /// Rule 6. The window is read narrower for what was taken and wider for what was sent.
+    fn allows(&mut self, now: Instant) -> bool {
+        let Some(window) = self.window else { return true };
+        let edge = Span::from_secs(SAFE_EDGE);
+        while self.taken.front().is_some_and(|t| now - *t > window) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|t| now - *t > window + edge) {
+            self.further.pop_front();
+        }
+        let old = self.taken.iter().take_while(|t| now - **t + edge > window).count();
+        (self.further.len() + 1) as f64 <= self.free + self.share * (self.taken.len() - old) as f64
+    }
+}
+
+/// Rule 4: what a node that has just come up is given by this host.
+struct Cold {
+    safe: f64,
+    from: f64,
+    warm: Span,
+    window: Span,
+}
+
+/// Rule 5: transfers on one key, in the order taken.
+#[derive(Default)]
+struct Turn {
+    line: VecDeque<XferId>,
+    holder: Option<XferId>,
+    out: usize,
+    free_at: Instant,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Late(XferId),
+    Expiry(XferId),
+    Look(ShardId),
+    List,
+}
+
+pub struct Scheduler {
+    now: Instant,
+    rng: oorandom::Rand32,
+    hosts: f64,
+    margin: Span,
+    plans: Vec<Plan>,
+    streams: Vec<Stream>,
+    mean_units: f64,
+    most_legs: u32,
+    longest_wait: Span,
+    settle: Span,
+    budget: Budget,
+    cold: Cold,
+    asks: bool,
+    asked: bool,
+    list_fails: i32,
+    volumes: HashMap<VolumeId, Volume>,
+    nodes: BTreeMap<NodeId, Node>,
+    shards: BTreeMap<ShardId, Shard>,
+    turns: HashMap<KeyId, Turn>,
+    xfers: HashMap<XferId, Xfer>,
+    alarms: BinaryHeap<Reverse<(Instant, Alarm)>>,
+    due: BTreeSet<ShardId>,
+    homeless: Vec<XferId>, // new objects for which no node was to be had
+    decided: VecDeque<Decision>,
+}
+
+/// Settings, part by part.
+impl Scheduler {
+    /// `hosts` is how many hosts share the pool; `tick` how coarse the host's clock is.
+    pub fn new(now: Instant, seed: u64, hosts: u32, tick: Span) -> Self {
+        Scheduler {
+            now,
+            rng: oorandom::Rand32::new(seed),
+            hosts: f64::from(hosts.max(1)),
+            margin: tick + tick + Span::from_secs(0.001),
+            plans: Vec::new(),
+            streams: Vec::new(),
+            mean_units: 1.0,
+            most_legs: u32::MAX,
+            longest_wait: Span::ZERO,
+            settle: Span::ZERO,
+            budget: Budget::default(),
+            cold: Cold { safe: 0.0, from: 1.0, warm: Span::ZERO, window: Span::ZERO },
+            asks: false,
+            asked: false,
+            list_fails: 0,
+            volumes: HashMap::new(),
+            nodes: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            turns: HashMap::new(),
+            xfers: HashMap::new(),
+            alarms: BinaryHeap::new(),
+            due: BTreeSet::new(),
+            homeless: Vec::new(),
+            decided: VecDeque::new(),
+        }
+    }
+
+    /// Plans are numbered in the order given; a `limit` of 0 is none.
+    pub fn plan(&mut self, limit: f64, burst: f64, reserve: f64, weight: f64) {
+        self.plans.push(Plan { limit, burst, reserve, weight: weight.max(1e-6) });
+    }
+
+    /// Stream types are numbered in the order given.
+    pub fn stream(&mut self, slo: Span, effect: Effect, in_order: bool) {
+        self.streams.push(Stream { slo, rank: 0, effect, in_order, longest: Span::ZERO });
+        let mut slos: Vec<Span> = self.streams.iter().map(|s| s.slo).collect();
+        slos.sort();
+        slos.dedup();
+        for s in &mut self.streams {
+            s.rank = slos.iter().position(|x| *x == s.slo).unwrap_or(0);
+        }
+    }
+
+    pub fn sizes(&mut self, mean_units: f64) {
+        self.mean_units = mean_units.max(1e-6);
+    }
+
+    /// `longest_wait` is how long a client can be asked to stay away at most; zero: it can't be asked.
+    pub fn leg_limits(&mut self, most_legs: u32, longest_wait: Span) {
+        self.most_legs = most_legs;
+        self.longest_wait = longest_wait;
+    }
+
+    pub fn further_leg_budget(&mut self, free: f64, share: f64, window: Span) {
+        self.budget = Budget { free, share, window: Some(window), ..Budget::default() };
+    }
+
+    pub fn order_settle(&mut self, settle: Span) {
+        self.settle = settle;
+    }
+
+    /// `safe` units within `window` from all hosts never hurt a node that starts at part `from` of its
+    /// capacity and is warm after `warm`.
+    pub fn cold_nodes(&mut self, safe: f64, from: f64, warm: Span, window: Span) {
+        self.cold = Cold { safe, from: from.clamp(0.01, 1.0), warm, window };
+    }
+
+    pub fn list_must_be_asked(&mut self) {
+        self.asks = true;
+        self.alarms.push(Reverse((self.now, Alarm::List)));
+    }
+}
+
+/// Inputs: they only update what is known.
+impl Scheduler {
+    #[allow(clippy::too_many_arguments)] // one decoded field, one argument
+    pub fn transfer_arrived(
+        &mut self,
+        now: Instant,
+        id: XferId,
+        stream: StreamId,
+        plan: PlanId,
+        key: Option<KeyId>,
+        left: Span,
+        volume: VolumeId,
+        units: f64,
+        shard: Option<ShardId>,
+        hosts: u32,
+    ) {
+        self.now = now;
+        let st = &mut self.streams[stream.0 as usize];
+        st.longest = st.longest.max(left);
+        // A client's later try has less time left: its SLO time began with the first try.
+        let slo_at = now + st.slo + left - st.longest;
+        let key_ordered = if st.in_order { key } else { None };
+        // A new life of a host can't know what an earlier one drew: the limit bucket starts full, not empty.
+        let limit = Bucket { level: self.plans[plan.0 as usize].burst, at: now };
+        let v = self.volumes.entry(volume).or_insert_with(|| Volume {
+            hosts: 1.0,
+            limit,
+            reserve: Bucket { level: 0.0, at: now },
+        });
+        v.hosts = v.hosts.max(f64::from(hosts));
+        let x = Xfer {
+            volume,
+            plan,
+            stream,
+            key,
+            shard,
+            any_node: shard.is_none(),
+            units,
+            slo_at,
+            expiry: now + left - self.margin,
+            hold: now,
+            drew: false,
+            waiting: true,
+            ended: false,
+            started: false,
+            legs: 0,
+            out: Vec::new(),
+            ran: None,
+        };
+        self.alarms.push(Reverse((x.expiry, Alarm::Expiry(id))));
+        self.alarms.push(Reverse((x.slo_at.max(now), Alarm::Late(id))));
+        self.xfers.insert(id, x);
+        self.budget.taken.push_back(now);
+        if let Some(k) = key_ordered {
+            self.turns.entry(k).or_default().line.push_back(id);
+        }
+        self.enqueue(id, false);
+    }
+
+    /// Whether the settings named this stream type and plan.
+    pub fn knows(&self, stream: StreamId, plan: PlanId) -> bool {
+        (stream.0 as usize) < self.streams.len() && (plan.0 as usize) < self.plans.len()
+    }
+
+    /// A streamed answer has begun: its client has it, and nothing is owed by a set time any more.
+    pub fn answer_started(&mut self, now: Instant, id: XferId) {
+        self.now = now;
+        if let Some(x) = self.xfers.get_mut(&id) {
+            x.started = true;
+        }
+    }
+
+    /// What an answer told of the volume's service: everywhere in a finished period, as a part of its plan's usual
+    /// rate in percent, and in units at this node through other hosts since its last answer to this one.
+    pub fn service_reported(
+        &mut self,
+        _now: Instant,
+        _id: XferId,
+        _leg: LegNo,
+        _used: Option<f64>,
+        _else: f64,
+    ) {
+    }
+
+    pub fn leg_ended(
+        &mut self,
+        now: Instant,
+        id: XferId,
+        leg: LegNo,
+        outcome: Outcome,
+        elapsed: Span,
+        ended: bool,
+    ) {
+        self.now = now;
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let Some(i) = x.out.iter().position(|l| l.no == leg.0) else { return };
+        let Leg { no, node, held } = x.out.remove(i);
+        if x.ran.is_some_and(|r| r.0 == no) && !outcome.may_have_run() {
+            x.ran = None;
+        }
+        let (units, stream, key) = (x.units, x.stream, x.key);
+        let st = &self.streams[stream.0 as usize];
+        if let Some(t) = key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
+            t.out -= 1;
+            if outcome.may_be_running() {
+                t.free_at = t.free_at.max(now + self.settle);
+            }
+        }
+        let tightest = self.streams.iter().map(|s| s.slo).min().unwrap_or(Span::ZERO).secs();
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.out -= 1;
+            n.out_units -= units;
+            n.out_rank[st.rank] -= 1;
+            self.due.insert(n.shard);
+            n.answered(now, outcome, elapsed.secs(), st.slo.secs(), tightest, held);
+            if outcome == Outcome::Done {
+                n.latency[stream.0 as usize].add(elapsed.secs());
+                n.cold.level = (n.cold.level - units).max(0.0);
+            }
+            let sick = n.bad >= SICK_AFTER && n.good < SICK_BELOW * (n.good + n.bad);
+            if sick != n.sick {
+                n.sick = sick;
+                let mode = if sick { "sick" } else { "well" };
+                let text =
+                    format!("node {} {mode}: good {:.1} bad {:.1} cap {:.1}", node.0, n.good, n.bad, n.cap);
+                self.decided.push_back(Decision::Log(text));
+            }
+        }
+        if ended || outcome == Outcome::Done {
+            self.finish(id);
+        } else if self.xfers.get(&id).is_some_and(|x| !x.ended && x.out.is_empty()) {
+            self.go_on(id);
+        }
+        self.forget(id);
+    }
+
+    /// The client has left, or the transfer was ended for us.
+    pub fn transfer_gone(&mut self, now: Instant, id: XferId) {
+        self.now = now;
+        self.finish(id);
+        self.forget(id);
+    }
+
+    pub fn nodes_changed(&mut self, now: Instant, kind: ListKind, entries: &[NodeEntry]) {
+        self.now = now;
+        if kind == ListKind::Failed {
+            let wait = (LIST_RETRY * 2f64.powi(self.list_fails)).min(LIST_RETRY_MOST);
+            self.list_fails += 1;
+            self.asked = false;
+            let wait = Span::from_secs(wait * (0.5 + f64::from(self.rng.rand_float())));
+            self.alarms.push(Reverse((now + wait, Alarm::List)));
+            let text = format!("list lost: failure {} retry in {:.2}s", self.list_fails, wait.secs());
+            self.decided.push_back(Decision::Log(text));
+            return;
+        }
+        if kind != ListKind::Saved && self.list_fails > 0 {
+            self.decided.push_back(Decision::Log(format!("list back: after {} failures", self.list_fails)));
+            self.list_fails = 0;
+        }
+        if kind != ListKind::Changes {
+            let named: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
+            for (id, n) in &mut self.nodes {
+                if !named.contains(id) {
+                    n.state = NodeState::Gone;
+                }
+            }
+        }
+        let ranks = self.streams.iter().map(|s| s.rank + 1).max().unwrap_or(1);
+        for e in entries {
+            let n = self.nodes.entry(e.node).or_insert_with(|| Node::new(now, e, ranks, self.streams.len()));
+            n.state = e.state;
+            if e.up_since > n.up_since {
+                // What was learned of its earlier life no longer holds; what is out still is.
+                let (out, out_units) = (n.out, n.out_units);
+                let out_rank = std::mem::take(&mut n.out_rank);
+                *n = Node { out, out_units, out_rank, ..Node::new(now, e, ranks, self.streams.len()) };
+                let age = e.up_since.map_or(0.0, |u| (now - u).secs());
+                self.decided.push_back(Decision::Log(format!("node {} cold: up for {age:.1}s", e.node.0)));
+            }
+            self.shards.entry(e.shard).or_default().nodes.insert(e.node);
+        }
+        // New objects that wait for a node which can't take them find another.
+        for (shard, sh) in &self.shards {
+            if !sh.nodes.iter().any(|n| self.nodes[n].state == NodeState::Ready) {
+                let moving = |q: &&XferId| {
+                    self.xfers.get(q).is_some_and(|x| {
+                        x.waiting && x.any_node && x.ran.is_none() && x.shard == Some(*shard)
+                    })
+                };
+                self.homeless.extend(sh.queues.values().flatten().filter(moving));
+            }
+        }
+        for id in std::mem::take(&mut self.homeless) {
+            if let Some(x) = self.xfers.get_mut(&id).filter(|x| x.waiting) {
+                x.shard = None;
+                self.enqueue(id, true);
+            }
+        }
+        self.due.extend(self.shards.keys());
+    }
+}
+
+impl Node {
+    fn new(now: Instant, e: &NodeEntry, ranks: usize, streams: usize) -> Self {
+        Node {
+            state: e.state,
+            zone: e.zone,
+            shard: e.shard,
+            up_since: e.up_since,
+            out: 0,
+            out_units: 0.0,
+            out_rank: vec![0; ranks],
+            cap: CAP_START,
+            cut_at: now,
+            credit: CREDIT_START,
+            good: 0.0,
+            bad: 0.0,
+            sick: false,
+            sent_at: now,
+            cold: Bucket { level: 0.0, at: now },
+            last_key: None,
+            latency: vec![Histogram::new(0.002, 64.0); streams],
+            turn: 0.0,
+        }
+    }
+
+    /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
+    /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
+    fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, tightest: f64, held: bool) {
+        match o {
+            Outcome::Done => {
+                self.good += 1.0;
+                self.credit = (self.credit + CREDIT_EARNED).min(CREDIT_MOST);
+                if slo > TIGHT * tightest {
+                    return self.halve();
+                }
+                if took < CAP_TARGET * slo {
+                    if held {
+                        self.cap = (self.cap + CAP_RISE / self.cap).min(CAP_MOST);
+                    }
+                } else {
+                    self.cut(now, took);
+                }
+            }
+            Outcome::Error | Outcome::TimedOut | Outcome::Refused | Outcome::Reset => self.bad += 1.0,
+            Outcome::Full => self.cut(now, took),
+            Outcome::Cancelled | Outcome::Skipped => {}
+        }
+        self.halve();
+    }
+
+    /// At most one cut for what was out at once.
+    fn cut(&mut self, now: Instant, took: f64) {
+        if (now - self.cut_at).secs() > took {
+            self.cap = (self.cap * CAP_CUT).max(CAP_LEAST);
+            self.cut_at = now;
+        }
+    }
+
+    fn halve(&mut self) {
+        if self.good + self.bad >= HEALTH_HALVE {
+            self.good /= 2.0;
+            self.bad /= 2.0;
+        }
+    }
+
+    fn has_room(&self, rank: usize, conforming: bool, mean_units: f64) -> bool {
+        let cap = if conforming { self.cap } else { (self.cap * EXCESS_PART).max(CAP_LEAST) };
+        let cap = if self.sick { CAP_LEAST } else { cap };
+        let above: usize = self.out_rank[..rank].iter().sum();
+        let at_or_below = self.out - above;
+        (self.out as f64) < cap.floor()
+            && self.out_units < cap * mean_units
+            && (above == 0 || (at_or_below as f64) < (cap * LOWER_PART).max(CAP_LEAST))
+    }
+
+    fn usual(&self, stream: StreamId) -> Span {
+        Span::from_secs(self.latency[stream.0 as usize].at(0.5).unwrap_or(0.0))
+    }
+}
+
+/// Decisions.
+impl Scheduler {
+    pub fn next_decision(&mut self, now: Instant) -> Option<Decision> {
+        self.now = now;
+        while self.alarms.peek().is_some_and(|Reverse((t, _))| *t <= now) {
+            let Some(Reverse((_, alarm))) = self.alarms.pop() else { break };
+            match alarm {
+                Alarm::Expiry(id) => {
+                    if self.xfers.get(&id).is_some_and(|x| !x.started) {
+                        self.answer(id, None);
+                    }
+                }
+                Alarm::Late(id) => {
+                    if let Some(s) = self.xfers.get(&id).filter(|x| x.waiting).and_then(|x| x.shard) {
+                        self.due.insert(s);
+                    }
+                }
+                Alarm::Look(s) => {
+                    self.due.insert(s);
+                }
+                Alarm::List => {
+                    if !self.asked {
+                        self.asked = true;
+                        self.decided.push_back(Decision::FollowList);
+                    }
+                }
+            }
+        }
+        loop {
+            if let Some(d) = self.decided.pop_front() {
+                return Some(d);
+            }
+            let shard = *self.due.first()?;
+            match self.pick(shard) {
+                Some((id, node, conforming)) => return Some(self.send(shard, id, node, conforming)),
+                None => {
+                    self.due.remove(&shard);
+                }
+            }
+        }
+    }
+
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.alarms.peek().map(|Reverse((t, _))| *t)
+    }
+
+    /// The transfer that leaves next for this shard, if any may leave now.
+    fn pick(&mut self, shard: ShardId) -> Option<(XferId, NodeId, bool)> {
+        let now = self.now;
+        let sh = self.shards.get(&shard)?;
+        let node = sh.nodes.iter().rev().find(|n| self.nodes[n].state == NodeState::Ready).copied();
+        let mut look: Option<Instant> = None;
+        let mut best: Option<((usize, bool, f64), XferId, bool)> = None;
+        let tightest = self.streams.iter().map(|s| s.slo).min().unwrap_or(Span::ZERO);
+        let names: Vec<(VolumeId, StreamId)> = sh.queues.keys().copied().collect();
+        for name in names {
+            let Some(head) = self.head(shard, name, node) else { continue };
+            let Some(node) = node else { continue };
+            if let Err(t) = self.may_leave(head, node) {
+                look = Some(look.map_or(t, |l| l.min(t)));
+                continue;
+            }
+            let nd = &self.nodes[&node];
+            let x = &self.xfers[&head];
+            let plan = &self.plans[x.plan.0 as usize];
+            let conforming = self.volumes.get_mut(&x.volume).is_some_and(|v| {
+                let part = plan.reserve / v.hosts;
+                plan.reserve > 0.0
+                    && v.reserve.wait(now, part, part * RESERVE_BURST + x.units, x.units) == Span::ZERO
+            });
+            // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
+            let rank = if conforming && x.slo_at - now <= tightest { 0 } else { self.rank(head) };
+            if !nd.has_room(rank, conforming, self.mean_units) {
+                continue;
+            }
+            let sh = &self.shards[&shard];
+            let tag = sh.tags.get(&x.volume).copied().unwrap_or(0.0).max(sh.vtime);
+            let score = (rank, !conforming, tag);
+            if best.is_none_or(|b| score < b.0) {
+                best = Some((score, head, conforming));
+            }
+        }
+        if best.is_none() {
+            best = self.late_one(shard, node).map(|id| ((0, true, 0.0), id, false));
+        }
+        if let Some(t) = look.filter(|_| best.is_none()) {
+            self.alarms.push(Reverse((t.max(now + Span::from_secs(1e-3)), Alarm::Look(shard))));
+        }
+        best.and_then(|(_, id, conforming)| node.map(|n| (id, n, conforming)))
+    }
+
+    /// First of a queue that can still be in time; those that can't are set aside on the way.
+    fn head(&mut self, shard: ShardId, name: (VolumeId, StreamId), node: Option<NodeId>) -> Option<XferId> {
+        loop {
+            let queue = self.shards.get_mut(&shard)?.queues.get_mut(&name)?;
+            let Some(&id) = queue.front() else {
+                self.shards.get_mut(&shard)?.queues.remove(&name);
+                return None;
+            };
+            let Some(x) = self.xfers.get(&id).filter(|x| x.waiting && x.shard == Some(shard)) else {
+                queue.pop_front();
+                continue;
+            };
+            let nd = node.and_then(|n| self.nodes.get(&n));
+            let usual = nd.map_or(Span::ZERO, |n| n.usual(name.1));
+            if self.now + usual < x.slo_at {
+                let key = nd.and_then(|n| n.last_key);
+                let same = queue.iter().take(KEY_LOOK).position(|q| {
+                    self.xfers
+                        .get(q)
+                        .is_some_and(|x| x.waiting && key.is_some() && x.key == key && x.legs == 0)
+                });
+                if let Some(i) = same.filter(|i| *i > 0) {
+                    let moved = queue.remove(i)?;
+                    queue.push_front(moved);
+                    return Some(moved);
+                }
+                return Some(id);
+            }
+            queue.pop_front();
+            let limited = self.plans[x.plan.0 as usize].limit > 0.0;
+            let late = &mut self.shards.get_mut(&shard)?.late;
+            let cap = nd.map_or(0.0, |n| n.cap);
+            if limited || (late.len() as f64) >= cap {
+                let wait = usual + usual;
+                self.answer(id, Some(wait));
+            } else {
+                late.push_back(id);
+            }
+        }
+    }
+
+    /// A late transfer earns little: it leaves only when nothing in time can.
+    fn late_one(&mut self, shard: ShardId, node: Option<NodeId>) -> Option<XferId> {
+        let n = node?;
+        loop {
+            let sh = self.shards.get_mut(&shard)?;
+            let id = *sh.late.front()?;
+            if !self.xfers.get(&id).is_some_and(|x| x.waiting && x.shard == Some(shard)) {
+                sh.late.pop_front();
+                continue;
+            }
+            let idle = sh.queues.is_empty() && self.nodes[&n].has_room(self.rank(id), false, self.mean_units);
+            return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
+        }
+    }
+
+    fn rank(&self, id: XferId) -> usize {
+        self.xfers.get(&id).map_or(0, |x| self.streams[x.stream.0 as usize].rank)
+    }
+
+    /// Whether the guards let this transfer leave for this node now; if not, when to look again.
+    fn may_leave(&mut self, id: XferId, node: NodeId) -> Result<(), Instant> {
+        let now = self.now;
+        let later = now + Span::from_secs(BLOCKED_CHECK);
+        let (x, n) = (&self.xfers[&id], &self.nodes[&node]);
+        if x.hold > now {
+            return Err(x.hold);
+        }
+        // Rule 2: a keyed transfer that may have run stays in its group and window.
+        if !self.rerun_safe(x, Some(node)) {
+            return Err(x.expiry);
+        }
+        // A sick node (errors, silence, refusals alike) gets a trickle, which finds its recovery.
+        let trickle = n.sent_at + Span::from_secs(TRICKLE);
+        if n.sick && trickle > now {
+            return Err(trickle);
+        }
+        // Rule 6, and the house's credit: further legs must be earned by the node's answers.
+        if x.legs > 0 && (n.credit < 1.0 || !self.budget.allows(now)) {
+            return Err(later);
+        }
+        let st = &self.streams[x.stream.0 as usize];
+        if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get(&k)) {
+            if t.line.front() != Some(&id) || (t.holder != Some(id) && (t.out > 0 || t.free_at > now)) {
+                return Err(t.free_at.max(later));
+            }
+        }
+        let plan = &self.plans[x.plan.0 as usize];
+        if plan.limit > 0.0 && !x.drew {
+            if let Some(v) = self.volumes.get_mut(&x.volume) {
+                let wait = v.limit.wait(now, plan.limit / v.hosts, plan.burst / v.hosts, x.units);
+                if wait > Span::ZERO {
+                    return Err(now + wait);
+                }
+            }
+        }
+        self.cold_room(node, self.xfers[&id].units)
+    }
+
+    /// Rule 4. Units out and not answered stay under this host's part of the always-safe figure, which grows no
+    /// faster than the slowest warming; an answer frees its units, since that work has been done.
+    fn cold_room(&mut self, node: NodeId, units: f64) -> Result<(), Instant> {
+        let (c, now) = (&self.cold, self.now);
+        let Some(n) = self.nodes.get_mut(&node) else { return Ok(()) };
+        let age = n.up_since.map_or(c.warm, |u| now - u);
+        if age >= c.warm {
+            return Ok(());
+        }
+        let warmth = c.from + (1.0 - c.from) * (age.secs() / c.warm.secs()).max(0.0);
+        let part = c.safe / self.hosts * warmth / c.from;
+        let rate = COLD_DRAIN * part / c.window.secs().max(1e-3);
+        n.cold.drain(now, rate);
+        if n.cold.level + units <= part {
+            return Ok(());
+        }
+        Err(now + Span::from_secs(BLOCKED_CHECK))
+    }
+
+    fn send(&mut self, shard: ShardId, id: XferId, node: NodeId, conforming: bool) -> Decision {
+        let now = self.now;
+        let (Some(x), Some(n)) = (self.xfers.get_mut(&id), self.nodes.get_mut(&node)) else {
+            return Decision::Abandon { xfer: id };
+        };
+        let st = &self.streams[x.stream.0 as usize];
+        if let Some(v) = self.volumes.get_mut(&x.volume) {
+            if !x.drew {
+                v.limit.level += x.units;
+            }
+            if conforming {
+                v.reserve.level += x.units;
+            }
+        }
+        let sh = self.shards.entry(shard).or_default();
+        if !conforming {
+            let start = sh.tags.get(&x.volume).copied().unwrap_or(0.0).max(sh.vtime);
+            sh.vtime = start;
+            sh.tags.insert(x.volume, start + x.units / self.plans[x.plan.0 as usize].weight);
+        }
+        if x.legs > 0 {
+            n.credit -= 1.0;
+            self.budget.further.push_back(now);
+        }
+        x.ran = x.ran.or(Some((x.legs, now, node)));
+        x.drew = true;
+        x.waiting = false;
+        let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
+        x.out.push(Leg { no: x.legs, node, held });
+        x.legs += 1;
+        n.out += 1;
+        n.out_units += x.units;
+        n.out_rank[st.rank] += 1;
+        n.cold.level += x.units;
+        n.sent_at = now;
+        n.last_key = x.key;
+        if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
+            t.holder = Some(id);
+            t.out += 1;
+        }
+        Decision::Send { xfer: id, node, timeout: None }
+    }
+
+    /// Whether a further leg at `node` (or at any, if none is named) can do no harm.
+    fn rerun_safe(&self, x: &Xfer, node: Option<NodeId>) -> bool {
+        let Some((_, sent, first)) = x.ran else { return true };
+        match self.streams[x.stream.0 as usize].effect {
+            Effect::Repeatable => true,
+            Effect::Unrepeatable => false,
+            Effect::Keyed { group, window } => {
+                let place = |n: NodeId| self.nodes.get(&n).map(|n| (n.zone, n.shard));
+                let same = node.is_none_or(|n| match group {
+                    Group::All => true,
+                    Group::Zone => place(n).map(|p| p.0) == place(first).map(|p| p.0),
+                    Group::Shard => place(n).map(|p| p.1) == place(first).map(|p| p.1),
+                });
+                same && self.now - sent + Span::from_secs(SAFE_EDGE) < window
+            }
+        }
+    }
+
+    /// A leg ended without success: another one where the rules and time allow, else the final answer at once.
+    fn go_on(&mut self, id: XferId) {
+        let Some(x) = self.xfers.get(&id) else { return };
+        if x.legs < self.most_legs && self.rerun_safe(x, None) && x.slo_at > self.now {
+            let moved = x.any_node && x.ran.is_none();
+            if let Some(x) = self.xfers.get_mut(&id) {
+                x.hold = self.now + Span::from_secs(PAUSE);
+                x.waiting = true;
+                if moved {
+                    x.shard = None;
+                }
+            }
+            self.enqueue(id, true);
+        } else {
+            self.answer(id, Some(Span::from_secs(PAUSE)));
+        }
+    }
+
+    /// The final answer: deferred where a retry is safe, abandoned otherwise.
+    fn answer(&mut self, id: XferId, come_back: Option<Span>) {
+        let Some(x) = self.xfers.get(&id).filter(|x| !x.ended) else { return };
+        let safe = match self.streams[x.stream.0 as usize].effect {
+            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
+            _ => x.ran.is_none(),
+        };
+        let wait = come_back.map(|w| w.min(self.longest_wait)).filter(|w| *w > Span::ZERO);
+        self.decided.push_back(match safe {
+            true => Decision::Defer { xfer: id, come_back: wait },
+            false => Decision::Abandon { xfer: id },
+        });
+        self.finish(id);
+        self.forget(id);
+    }
+
+    fn finish(&mut self, id: XferId) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        x.ended = true;
+        x.waiting = false;
+        let st = &self.streams[x.stream.0 as usize];
+        if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
+            t.line.retain(|q| *q != id);
+            if t.holder == Some(id) {
+                t.holder = None;
+            }
+            if let Some(s) = t.line.front().and_then(|q| self.xfers.get(q)).and_then(|x| x.shard) {
+                self.due.insert(s);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: XferId) {
+        if self.xfers.get(&id).is_some_and(|x| x.ended && x.out.is_empty()) {
+            self.xfers.remove(&id);
+        }
+    }
+
+    fn enqueue(&mut self, id: XferId, first: bool) {
+        let shard = match self.xfers.get(&id).and_then(|x| x.shard) {
+            Some(s) => s,
+            None => match self.rotate() {
+                Some(s) => s,
+                None => return self.homeless.push(id),
+            },
+        };
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        x.shard = Some(shard);
+        let queue = self.shards.entry(shard).or_default().queues.entry((x.volume, x.stream)).or_default();
+        if first {
+            queue.push_front(id);
+        } else {
+            queue.push_back(id);
+        }
+        self.due.insert(shard);
+    }
+
+    /// New objects: the nodes take turns, weighted by what each was seen to manage (its cap over its usual time).
+    fn rotate(&mut self) -> Option<ShardId> {
+        let (now, cold) = (self.now, &self.cold);
+        let mut total = 0.0;
+        let mut best: Option<(f64, NodeId)> = None;
+        for (id, n) in &mut self.nodes {
+            let fresh = n.up_since.is_some_and(|u| now - u < cold.warm);
+            if n.state != NodeState::Ready || n.sick {
+                continue;
+            }
+            let usual: f64 = n.latency.iter().filter_map(|h| h.at(0.5)).sum::<f64>().max(0.01);
+            let weight = if fresh { cold.from } else { 1.0 } * n.cap / usual;
+            n.turn += weight;
+            total += weight;
+            if best.is_none_or(|b| n.turn > b.0) {
+                best = Some((n.turn, *id));
+            }
+        }
+        let n = self.nodes.get_mut(&best?.1)?;
+        n.turn -= total;
+        Some(n.shard)
+    }
+}
