Limit bucket starts at the host's part; bookkeeping parted from deciding

Half of the rule's slack, split over the hosts, is given at the start. Records and counting moved to src/state.rs; the module keeps every decision and tuned value.

--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -135,6 +135,7 @@
             s.plan(
                 or(plan, "ceiling_rate", 0.0)?,
                 or(plan, "most_at_once", 0.0)?,
+                or(plan, "slack", 0.0)?,
                 or(plan, "floor_rate", 0.0)?,
                 or(plan, "proportion", 1.0)?,
             );
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod histogram;
 pub mod interface;
 pub mod policy;
+mod state;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,6 +9,7 @@
 
 use crate::histogram::Histogram;
 use crate::interface::*;
+use crate::state::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
@@ -21,6 +22,7 @@
 const EXCESS_PART: f64 = 0.7; // of the cap, for units past the reservation
 const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
 const TIGHT: f64 = 2.0; // streams within this multiple of the tightest SLO time judge the node
+const SLACK_AT_START: f64 = 0.5; // of the limit's slack, given by all hosts together when they start
 const RESERVE_BURST: f64 = 1.0; // seconds of the reservation that its bucket holds
 const CREDIT_START: f64 = 2.0;
 const CREDIT_MOST: f64 = 8.0;
@@ -35,167 +37,19 @@
 const LIST_RETRY: f64 = 0.3; // seconds, doubled at each failure
 const LIST_RETRY_MOST: f64 = 4.0;
 const SAFE_EDGE: f64 = 0.02; // seconds kept from the edge of any stated window
+const LATENCY_FIRST: f64 = 0.002; // seconds, the lowest bin of answer times
+const LATENCY_HALVE: f64 = 64.0;
 const KEY_LOOK: usize = 16; // waiting transfers searched for one on the node's last key
 
-/// The document's alternate bucket: units are added as they are sent, drain at `rate`, and wait for room.
 #[derive(Default)]
-struct Bucket {
-    level: f64,
-    at: Instant,
-}
-
-impl Bucket {
-    fn drain(&mut self, now: Instant, rate: f64) {
-        self.level = (self.level - rate * (now - self.at).secs()).max(0.0);
-        self.at = now;
-    }
-    /// How long until `units` fit under `burst`; zero when they fit now.
-    fn wait(&mut self, now: Instant, rate: f64, burst: f64, units: f64) -> Span {
-        self.drain(now, rate);
-        let over = self.level + units.min(burst) - burst;
-        if over <= 1e-9 {
-            Span::ZERO
-        } else {
-            Span::from_secs(over / rate.max(1e-6) + 1e-4)
-        }
-    }
-}
-
-struct Plan {
-    limit: f64,
-    burst: f64,
-    reserve: f64,
-    weight: f64,
-}
-
-struct Stream {
-    slo: Span,
-    rank: usize,
-    effect: Effect,
-    in_order: bool,
-    longest: Span, // the longest time a client of this stream has been seen to leave us
-}
-
-struct Volume {
-    hosts: f64,
-    limit: Bucket,
-    reserve: Bucket,
-}
-
-struct Xfer {
-    volume: VolumeId,
-    plan: PlanId,
-    stream: StreamId,
-    key: Option<KeyId>,
-    shard: Option<ShardId>,
-    any_node: bool,
-    units: f64,
-    slo_at: Instant,
-    expiry: Instant,
-    hold: Instant, // no leg before this
-    drew: bool,
-    waiting: bool,
-    ended: bool,
-    started: bool,
-    legs: u32,
-    out: Vec<Leg>,
-    ran: Option<(u32, Instant, NodeId)>, // the first leg that may have had an effect
-}
-
-struct Leg {
-    no: u32,
-    node: NodeId,
-    held: bool, // went out while the caps were what held transfers back
-}
-
-struct Node {
-    state: NodeState,
-    zone: ZoneId,
-    shard: ShardId,
-    up_since: Option<Instant>,
-    out: usize,
-    out_units: f64,
-    out_rank: Vec<usize>,
-    cap: f64,
-    cut_at: Instant,
-    credit: f64,
-    good: f64,
-    bad: f64,
-    sick: bool,
-    sent_at: Instant,
-    cold: Bucket,
-    last_key: Option<KeyId>,
-    latency: Vec<Histogram>,
-    turn: f64,
-}
-
-#[derive(Default)]
-struct Shard {
-    queues: BTreeMap<(VolumeId, StreamId), VecDeque<XferId>>,
-    late: VecDeque<XferId>,
-    nodes: BTreeSet<NodeId>,
-    tags: BTreeMap<VolumeId, f64>,
-    vtime: f64,
-}
-
-/// Further legs, as a free few plus a share of the transfers taken, over any window.
-#[derive(Default)]
-struct Budget {
-    free: f64,
-    share: f64,
-    window: Option<Span>,
-    taken: VecDeque<Instant>,
-    further: VecDeque<Instant>,
-}
-
-impl Budget {
-    /// Rule 6. The window is read narrower for what was taken and wider for what was sent.
-    fn allows(&mut self, now: Instant) -> bool {
-        let Some(window) = self.window else { return true };
-        let edge = Span::from_secs(SAFE_EDGE);
-        while self.taken.front().is_some_and(|t| now - *t > window) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|t| now - *t > window + edge) {
-            self.further.pop_front();
-        }
-        let old = self.taken.iter().take_while(|t| now - **t + edge > window).count();
-        (self.further.len() + 1) as f64 <= self.free + self.share * (self.taken.len() - old) as f64
-    }
-}
-
-/// Rule 4: what a node that has just come up is given by this host.
-struct Cold {
-    safe: f64,
-    from: f64,
-    warm: Span,
-    window: Span,
-}
-
-/// Rule 5: transfers on one key, in the order taken.
-#[derive(Default)]
-struct Turn {
-    line: VecDeque<XferId>,
-    holder: Option<XferId>,
-    out: usize,
-    free_at: Instant,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Alarm {
-    Late(XferId),
-    Expiry(XferId),
-    Look(ShardId),
-    List,
-}
-
 pub struct Scheduler {
     now: Instant,
-    rng: oorandom::Rand32,
+    rng: Chance,
     hosts: f64,
     margin: Span,
     plans: Vec<Plan>,
     streams: Vec<Stream>,
+    tightest: Span, // SLO time
     mean_units: f64,
     most_legs: u32,
     longest_wait: Span,
@@ -222,35 +76,18 @@
     pub fn new(now: Instant, seed: u64, hosts: u32, tick: Span) -> Self {
         Scheduler {
             now,
-            rng: oorandom::Rand32::new(seed),
+            rng: Chance(oorandom::Rand32::new(seed)),
             hosts: f64::from(hosts.max(1)),
             margin: tick + tick + Span::from_secs(0.001),
-            plans: Vec::new(),
-            streams: Vec::new(),
             mean_units: 1.0,
             most_legs: u32::MAX,
-            longest_wait: Span::ZERO,
-            settle: Span::ZERO,
-            budget: Budget::default(),
-            cold: Cold { safe: 0.0, from: 1.0, warm: Span::ZERO, window: Span::ZERO },
-            asks: false,
-            asked: false,
-            list_fails: 0,
-            volumes: HashMap::new(),
-            nodes: BTreeMap::new(),
-            shards: BTreeMap::new(),
-            turns: HashMap::new(),
-            xfers: HashMap::new(),
-            alarms: BinaryHeap::new(),
-            due: BTreeSet::new(),
-            homeless: Vec::new(),
-            decided: VecDeque::new(),
+            ..Scheduler::default()
         }
     }
 
     /// Plans are numbered in the order given; a `limit` of 0 is none.
-    pub fn plan(&mut self, limit: f64, burst: f64, reserve: f64, weight: f64) {
-        self.plans.push(Plan { limit, burst, reserve, weight: weight.max(1e-6) });
+    pub fn plan(&mut self, limit: f64, burst: f64, slack: f64, reserve: f64, weight: f64) {
+        self.plans.push(Plan { limit, burst, slack, reserve, weight: weight.max(1e-6) });
     }
 
     /// Stream types are numbered in the order given.
@@ -259,6 +96,7 @@
         let mut slos: Vec<Span> = self.streams.iter().map(|s| s.slo).collect();
         slos.sort();
         slos.dedup();
+        self.tightest = slos[0];
         for s in &mut self.streams {
             s.rank = slos.iter().position(|x| *x == s.slo).unwrap_or(0);
         }
@@ -316,37 +154,21 @@
         // A client's later try has less time left: its SLO time began with the first try.
         let slo_at = now + st.slo + left - st.longest;
         let key_ordered = if st.in_order { key } else { None };
-        // A new life of a host can't know what an earlier one drew: the limit bucket starts full, not empty.
-        let limit = Bucket { level: self.plans[plan.0 as usize].burst, at: now };
-        let v = self.volumes.entry(volume).or_insert_with(|| Volume {
-            hosts: 1.0,
-            limit,
-            reserve: Bucket { level: 0.0, at: now },
-        });
-        v.hosts = v.hosts.max(f64::from(hosts));
-        let x = Xfer {
-            volume,
-            plan,
-            stream,
-            key,
-            shard,
-            any_node: shard.is_none(),
-            units,
-            slo_at,
-            expiry: now + left - self.margin,
-            hold: now,
-            drew: false,
-            waiting: true,
-            ended: false,
-            started: false,
-            legs: 0,
-            out: Vec::new(),
-            ran: None,
-        };
+        let (p, told) = (&self.plans[plan.0 as usize], f64::from(hosts.max(1)));
+        // A new life of a host can't know what an earlier one drew, so its limit bucket starts full, but for part
+        // of what the rule lets pass: a restart must not hand itself a second burst.
+        let full = (p.burst - p.slack * SLACK_AT_START) / told;
+        let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, told, full));
+        v.hosts = v.hosts.max(told);
+        let expiry = now + left - self.margin;
+        let x = Xfer::new(now, (volume, plan, stream), key, shard, units, slo_at, expiry);
         self.alarms.push(Reverse((x.expiry, Alarm::Expiry(id))));
         self.alarms.push(Reverse((x.slo_at.max(now), Alarm::Late(id))));
         self.xfers.insert(id, x);
-        self.budget.taken.push_back(now);
+        if let Some(window) = self.budget.window {
+            self.budget.prune(now, window + window);
+            self.budget.taken.push_back(now);
+        }
         if let Some(k) = key_ordered {
             self.turns.entry(k).or_default().line.push_back(id);
         }
@@ -402,7 +224,7 @@
                 t.free_at = t.free_at.max(now + self.settle);
             }
         }
-        let tightest = self.streams.iter().map(|s| s.slo).min().unwrap_or(Span::ZERO).secs();
+        let tightest = self.tightest.secs();
         if let Some(n) = self.nodes.get_mut(&node) {
             n.out -= 1;
             n.out_units -= units;
@@ -443,7 +265,7 @@
             let wait = (LIST_RETRY * 2f64.powi(self.list_fails)).min(LIST_RETRY_MOST);
             self.list_fails += 1;
             self.asked = false;
-            let wait = Span::from_secs(wait * (0.5 + f64::from(self.rng.rand_float())));
+            let wait = Span::from_secs(wait * (0.5 + f64::from(self.rng.0.rand_float())));
             self.alarms.push(Reverse((now + wait, Alarm::List)));
             let text = format!("list lost: failure {} retry in {:.2}s", self.list_fails, wait.secs());
             self.decided.push_back(Decision::Log(text));
@@ -462,14 +284,14 @@
             }
         }
         let ranks = self.streams.iter().map(|s| s.rank + 1).max().unwrap_or(1);
+        let fresh = vec![Histogram::new(LATENCY_FIRST, LATENCY_HALVE); self.streams.len()];
         for e in entries {
-            let n = self.nodes.entry(e.node).or_insert_with(|| Node::new(now, e, ranks, self.streams.len()));
+            let new = || Node::new(now, e, ranks, fresh.clone(), CAP_START, CREDIT_START);
+            let n = self.nodes.entry(e.node).or_insert_with(new);
             n.state = e.state;
             if e.up_since > n.up_since {
                 // What was learned of its earlier life no longer holds; what is out still is.
-                let (out, out_units) = (n.out, n.out_units);
-                let out_rank = std::mem::take(&mut n.out_rank);
-                *n = Node { out, out_units, out_rank, ..Node::new(now, e, ranks, self.streams.len()) };
+                n.restart(now, e, fresh.clone(), CAP_START, CREDIT_START);
                 let age = e.up_since.map_or(0.0, |u| (now - u).secs());
                 self.decided.push_back(Decision::Log(format!("node {} cold: up for {age:.1}s", e.node.0)));
             }
@@ -497,29 +319,6 @@
 }
 
 impl Node {
-    fn new(now: Instant, e: &NodeEntry, ranks: usize, streams: usize) -> Self {
-        Node {
-            state: e.state,
-            zone: e.zone,
-            shard: e.shard,
-            up_since: e.up_since,
-            out: 0,
-            out_units: 0.0,
-            out_rank: vec![0; ranks],
-            cap: CAP_START,
-            cut_at: now,
-            credit: CREDIT_START,
-            good: 0.0,
-            bad: 0.0,
-            sick: false,
-            sent_at: now,
-            cold: Bucket { level: 0.0, at: now },
-            last_key: None,
-            latency: vec![Histogram::new(0.002, 64.0); streams],
-            turn: 0.0,
-        }
-    }
-
     /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
     /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
     fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, tightest: f64, held: bool) {
@@ -628,7 +427,6 @@
         let node = sh.nodes.iter().rev().find(|n| self.nodes[n].state == NodeState::Ready).copied();
         let mut look: Option<Instant> = None;
         let mut best: Option<((usize, bool, f64), XferId, bool)> = None;
-        let tightest = self.streams.iter().map(|s| s.slo).min().unwrap_or(Span::ZERO);
         let names: Vec<(VolumeId, StreamId)> = sh.queues.keys().copied().collect();
         for name in names {
             let Some(head) = self.head(shard, name, node) else { continue };
@@ -646,7 +444,7 @@
                     && v.reserve.wait(now, part, part * RESERVE_BURST + x.units, x.units) == Span::ZERO
             });
             // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
-            let rank = if conforming && x.slo_at - now <= tightest { 0 } else { self.rank(head) };
+            let rank = if conforming && x.slo_at - now <= self.tightest { 0 } else { self.rank(head) };
             if !nd.has_room(rank, conforming, self.mean_units) {
                 continue;
             }
@@ -744,7 +542,7 @@
             return Err(trickle);
         }
         // Rule 6, and the house's credit: further legs must be earned by the node's answers.
-        if x.legs > 0 && (n.credit < 1.0 || !self.budget.allows(now)) {
+        if x.legs > 0 && (n.credit < 1.0 || !self.budget_allows(now)) {
             return Err(later);
         }
         let st = &self.streams[x.stream.0 as usize];
@@ -765,6 +563,13 @@
         self.cold_room(node, self.xfers[&id].units)
     }
 
+    /// Rule 6. The window is read narrower for what was taken and wider for what was sent.
+    fn budget_allows(&self, now: Instant) -> bool {
+        let Some(window) = self.budget.window else { return true };
+        let (further, taken) = self.budget.count(now, window, Span::from_secs(SAFE_EDGE));
+        further + 1.0 <= self.budget.free + self.budget.share * taken
+    }
+
     /// Rule 4. Units out and not answered stay under this host's part of the always-safe figure, which grows no
     /// faster than the slowest warming; an answer frees its units, since that work has been done.
     fn cold_room(&mut self, node: NodeId, units: f64) -> Result<(), Instant> {
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,247 @@
+//! Records of what is known, and the mechanics of counting. Nothing is decided and nothing tuned here.
+
+use crate::histogram::Histogram;
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The document's alternate bucket: units are added as they are sent, drain at `rate`, and wait for room.
+#[derive(Default)]
+pub struct Bucket {
+    pub level: f64,
+    pub at: Instant,
+}
+
+impl Bucket {
+    pub fn drain(&mut self, now: Instant, rate: f64) {
+        self.level = (self.level - rate * (now - self.at).secs()).max(0.0);
+        self.at = now;
+    }
+    /// How long until `units` fit under `burst`; zero when they fit now.
+    pub fn wait(&mut self, now: Instant, rate: f64, burst: f64, units: f64) -> Span {
+        self.drain(now, rate);
+        let over = self.level + units.min(burst) - burst;
+        if over <= 1e-9 {
+            Span::ZERO
+        } else {
+            Span::from_secs(over / rate.max(1e-6) + 1e-4)
+        }
+    }
+}
+
+pub struct Plan {
+    pub limit: f64,
+    pub burst: f64,
+    pub slack: f64,
+    pub reserve: f64,
+    pub weight: f64,
+}
+
+pub struct Stream {
+    pub slo: Span,
+    pub rank: usize,
+    pub effect: Effect,
+    pub in_order: bool,
+    pub longest: Span, // the longest time a client of this stream has been seen to leave us
+}
+
+pub struct Volume {
+    pub hosts: f64,
+    pub limit: Bucket,
+    pub reserve: Bucket,
+}
+
+impl Volume {
+    pub fn new(now: Instant, hosts: f64, drawn: f64) -> Self {
+        let limit = Bucket { level: drawn, at: now };
+        Volume { hosts, limit, reserve: Bucket { level: 0.0, at: now } }
+    }
+}
+
+pub struct Xfer {
+    pub volume: VolumeId,
+    pub plan: PlanId,
+    pub stream: StreamId,
+    pub key: Option<KeyId>,
+    pub shard: Option<ShardId>,
+    pub any_node: bool,
+    pub units: f64,
+    pub slo_at: Instant,
+    pub expiry: Instant,
+    pub hold: Instant, // no leg before this
+    pub drew: bool,
+    pub waiting: bool,
+    pub ended: bool,
+    pub started: bool,
+    pub legs: u32,
+    pub out: Vec<Leg>,
+    pub ran: Option<(u32, Instant, NodeId)>, // the first leg that may have had an effect
+}
+
+impl Xfer {
+    pub fn new(
+        now: Instant,
+        (volume, plan, stream): (VolumeId, PlanId, StreamId),
+        key: Option<KeyId>,
+        shard: Option<ShardId>,
+        units: f64,
+        slo_at: Instant,
+        expiry: Instant,
+    ) -> Self {
+        Xfer {
+            volume,
+            plan,
+            stream,
+            key,
+            shard,
+            any_node: shard.is_none(),
+            units,
+            slo_at,
+            expiry,
+            hold: now,
+            drew: false,
+            waiting: true,
+            ended: false,
+            started: false,
+            legs: 0,
+            out: Vec::new(),
+            ran: None,
+        }
+    }
+}
+
+pub struct Leg {
+    pub no: u32,
+    pub node: NodeId,
+    pub held: bool, // went out while the caps were what held transfers back
+}
+
+pub struct Node {
+    pub state: NodeState,
+    pub zone: ZoneId,
+    pub shard: ShardId,
+    pub up_since: Option<Instant>,
+    pub out: usize,
+    pub out_units: f64,
+    pub out_rank: Vec<usize>,
+    pub cap: f64,
+    pub cut_at: Instant,
+    pub credit: f64,
+    pub good: f64,
+    pub bad: f64,
+    pub sick: bool,
+    pub sent_at: Instant,
+    pub cold: Bucket,
+    pub last_key: Option<KeyId>,
+    pub latency: Vec<Histogram>,
+    pub turn: f64,
+}
+
+#[derive(Default)]
+pub struct Shard {
+    pub queues: BTreeMap<(VolumeId, StreamId), VecDeque<XferId>>,
+    pub late: VecDeque<XferId>,
+    pub nodes: BTreeSet<NodeId>,
+    pub tags: BTreeMap<VolumeId, f64>,
+    pub vtime: f64,
+}
+
+/// Further legs, as a free few plus a share of the transfers taken, over any window.
+#[derive(Default)]
+pub struct Budget {
+    pub free: f64,
+    pub share: f64,
+    pub window: Option<Span>,
+    pub taken: VecDeque<Instant>,
+    pub further: VecDeque<Instant>,
+}
+
+impl Budget {
+    /// Drops what no window can reach any more.
+    pub fn prune(&mut self, now: Instant, reach: Span) {
+        for times in [&mut self.taken, &mut self.further] {
+            while times.front().is_some_and(|t| now - *t > reach) {
+                times.pop_front();
+            }
+        }
+    }
+
+    /// Further legs sent in the last `window + edge`, and transfers taken in the last `window - edge`.
+    pub fn count(&self, now: Instant, window: Span, edge: Span) -> (f64, f64) {
+        let further = self.further.iter().rev().take_while(|t| now - **t <= window + edge).count();
+        let taken = self.taken.iter().rev().take_while(|t| now - **t + edge <= window).count();
+        (further as f64, taken as f64)
+    }
+}
+
+/// Rule 5: transfers on one key, in the order taken.
+#[derive(Default)]
+pub struct Turn {
+    pub line: VecDeque<XferId>,
+    pub holder: Option<XferId>,
+    pub out: usize,
+    pub free_at: Instant,
+}
+
+impl Node {
+    /// Forgets an earlier life, but for what is still out.
+    pub fn restart(&mut self, now: Instant, e: &NodeEntry, seen: Vec<Histogram>, cap: f64, credit: f64) {
+        let (out, out_units, out_rank) = (self.out, self.out_units, std::mem::take(&mut self.out_rank));
+        *self = Node { out, out_units, out_rank, ..Node::new(now, e, 0, seen, cap, credit) };
+    }
+
+    pub fn new(
+        now: Instant,
+        e: &NodeEntry,
+        ranks: usize,
+        seen: Vec<Histogram>,
+        cap: f64,
+        credit: f64,
+    ) -> Self {
+        Node {
+            state: e.state,
+            zone: e.zone,
+            shard: e.shard,
+            up_since: e.up_since,
+            out: 0,
+            out_units: 0.0,
+            out_rank: vec![0; ranks],
+            cap,
+            cut_at: now,
+            credit,
+            good: 0.0,
+            bad: 0.0,
+            sick: false,
+            sent_at: now,
+            cold: Bucket { level: 0.0, at: now },
+            last_key: None,
+            latency: seen,
+            turn: 0.0,
+        }
+    }
+}
+
+/// Rule 4: what a node that has just come up is given by this host.
+#[derive(Default)]
+pub struct Cold {
+    pub safe: f64,
+    pub from: f64,
+    pub warm: Span,
+    pub window: Span,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Alarm {
+    Late(XferId),
+    Expiry(XferId),
+    Look(ShardId),
+    List,
+}
+
+/// Chance, started from the host's seed.
+pub struct Chance(pub oorandom::Rand32);
+
+impl Default for Chance {
+    fn default() -> Self {
+        Chance(oorandom::Rand32::new(0))
+    }
+}
