--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,10 @@
 const SICK_AFTER: f64 = 6.0; // bad answers
 const SICK_BELOW: f64 = 0.05; // part of answers that are good
 const TRICKLE: f64 = 0.1; // seconds between legs to a sick node
+const TIMEOUT_AT: f64 = 0.9; // part of the answers seen that are faster
+const TIMEOUT_TIMES: f64 = 3.0;
+const TIMEOUT_LEAST: f64 = 0.4; // of the SLO time
+const TIMEOUT_SEEN: f64 = 8.0; // answers
 const PAUSE: f64 = 0.02; // seconds before a further leg
 const BLOCKED_CHECK: f64 = 0.05; // seconds until a transfer that a guard holds is looked at again
 const COLD_DRAIN: f64 = 0.25; // of the always-safe units, each window, freed by time alone
@@ -208,9 +212,7 @@
         }
         let tightest = self.tightest.secs();
         if let Some(n) = self.nodes.get_mut(&node) {
-            n.out -= 1;
-            n.out_units -= units;
-            n.out_rank[st.rank] -= 1;
+            n.leg_back(st.rank, units);
             self.due.insert(n.shard);
             n.answered(now, o, took.secs(), st.slo.secs(), tightest, held);
             if o == Outcome::Done {
@@ -294,7 +296,7 @@
                 self.good += 1.0;
                 self.credit = (self.credit + CREDIT_EARNED).min(CREDIT_MOST);
                 if slo > TIGHT * tightest {
-                    return self.halve();
+                    return self.halve(HEALTH_HALVE);
                 }
                 if took < CAP_TARGET * slo {
                     if held {
@@ -308,7 +310,7 @@
             Outcome::Full => self.cut(now, took),
             Outcome::Cancelled | Outcome::Skipped => {}
         }
-        self.halve();
+        self.halve(HEALTH_HALVE);
     }
 
     /// At most one cut for what was out at once.
@@ -319,13 +321,6 @@
         }
     }
 
-    fn halve(&mut self) {
-        if self.good + self.bad >= HEALTH_HALVE {
-            self.good /= 2.0;
-            self.bad /= 2.0;
-        }
-    }
-
     fn has_room(&self, rank: usize, conforming: bool, mean_units: f64) -> bool {
         let cap = if conforming { self.cap } else { (self.cap * EXCESS_PART).max(CAP_LEAST) };
         let cap = if self.sick { CAP_LEAST } else { cap };
@@ -415,9 +410,7 @@
             if !nd.has_room(rank, conforming, self.mean_units) {
                 continue;
             }
-            let sh = &self.shards[&shard];
-            let tag = sh.tags.get(&x.volume).copied().unwrap_or(0.0).max(sh.vtime);
-            let score = (rank, !conforming, tag);
+            let score = (rank, !conforming, self.shards[&shard].start(x.volume));
             if best.is_none_or(|b| score < b.0) {
                 best = Some((score, head, conforming));
             }
@@ -583,33 +576,31 @@
                 v.reserve.level += x.units;
             }
         }
-        let sh = self.shards.entry(shard).or_default();
         if !conforming {
-            let start = sh.tags.get(&x.volume).copied().unwrap_or(0.0).max(sh.vtime);
-            sh.vtime = start;
-            sh.tags.insert(x.volume, start + x.units / self.plans[x.plan.0 as usize].weight);
+            let cost = x.units / self.plans[x.plan.0 as usize].weight;
+            self.shards.entry(shard).or_default().charge(x.volume, cost);
         }
         if x.legs > 0 {
             n.credit -= 1.0;
             self.budget.further.push_back(now);
         }
-        x.ran = x.ran.or(Some((x.legs, now, node)));
-        x.drew = true;
-        x.waiting = false;
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
-        x.out.push(Leg { no: x.legs, node, held });
-        x.legs += 1;
-        n.out += 1;
-        n.out_units += x.units;
-        n.out_rank[st.rank] += 1;
-        n.cold.level += x.units;
-        n.sent_at = now;
-        n.last_key = x.key;
+        x.send(now, node, held);
+        n.leg_out(now, st.rank, x.units, x.key);
         if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
             t.out += 1;
         }
-        Decision::Send { xfer: id, node, timeout: None }
+        // A leg that answers nothing for far longer than this node's usual (lost, stuck or on a dead node) is
+        // given up while another can still be in time. May hurt where a node turns slow at one stroke: then the
+        // credit and the rising usual time bound what is sent twice.
+        let seen = &n.latency[x.stream.0 as usize];
+        let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
+        let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
+        let again =
+            x.legs < self.most_legs && st.effect != Effect::Unrepeatable && seen.count() >= TIMEOUT_SEEN;
+        let timeout = Some(timeout).filter(|t| again && now + *t < x.slo_at);
+        Decision::Send { xfer: id, node, timeout }
     }
 
     /// Whether a further leg at `node` (or at any, if none is named) can do no harm.
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,14 @@
 }
 
 impl Xfer {
+    pub fn send(&mut self, now: Instant, node: NodeId, held: bool) {
+        self.ran = self.ran.or(Some((self.legs, now, node)));
+        self.drew = true;
+        self.waiting = false;
+        self.out.push(Leg { no: self.legs, node, held });
+        self.legs += 1;
+    }
+
     pub fn new(
         now: Instant,
         (volume, plan, stream): (VolumeId, PlanId, StreamId),
@@ -145,6 +153,18 @@
     pub vtime: f64,
 }
 
+/// Weighted sharing by start tags: virtual time stands at the last start, so nothing is saved while idle.
+impl Shard {
+    pub fn start(&self, volume: VolumeId) -> f64 {
+        self.tags.get(&volume).copied().unwrap_or(0.0).max(self.vtime)
+    }
+
+    pub fn charge(&mut self, volume: VolumeId, cost: f64) {
+        self.vtime = self.start(volume);
+        self.tags.insert(volume, self.vtime + cost);
+    }
+}
+
 /// Further legs, as a free few plus a share of the transfers taken, over any window.
 #[derive(Default)]
 pub struct Budget {
@@ -183,6 +203,28 @@
 }
 
 impl Node {
+    pub fn leg_out(&mut self, now: Instant, rank: usize, units: f64, key: Option<KeyId>) {
+        self.out += 1;
+        self.out_units += units;
+        self.out_rank[rank] += 1;
+        self.cold.level += units;
+        self.sent_at = now;
+        self.last_key = key;
+    }
+
+    pub fn leg_back(&mut self, rank: usize, units: f64) {
+        self.out -= 1;
+        self.out_units -= units;
+        self.out_rank[rank] -= 1;
+    }
+
+    pub fn halve(&mut self, at: f64) {
+        if self.good + self.bad >= at {
+            self.good /= 2.0;
+            self.bad /= 2.0;
+        }
+    }
+
     /// Forgets an earlier life, but for what is still out.
     pub fn restart(&mut self, now: Instant, e: &NodeEntry, seen: Vec<Histogram>, cap: f64, credit: f64) {
         let (out, out_units, out_rank) = (self.out, self.out_units, std::mem::take(&mut self.out_rank));
