--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -143,7 +143,11 @@
         s.sizes(or(&domain, "unit_mean", 1.0)?);
         let asks_clients = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
         let longest = if asks_clients { span(&limits, "max_retry_after")? } else { Span::ZERO };
-        s.leg_limits(or(&limits, "max_attempts", f64::from(u32::MAX))? as u32, longest);
+        s.leg_limits(
+            or(&limits, "max_attempts", f64::from(u32::MAX))? as u32,
+            longest,
+            span(&rules, "order_settle")?,
+        );
         if rules.contains_key("look_back") {
             s.further_leg_budget(
                 or(&rules, "extra_floor", 0.0)?,
@@ -151,7 +155,6 @@
                 span(&rules, "look_back")?,
             );
         }
-        s.order_settle(span(&rules, "order_settle")?);
         s.cold_nodes(
             or(&domain, "cold_bears", 0.0)?,
             or(&rules, "cold_from", 1.0)?,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,10 @@
 const SICK_AFTER: f64 = 6.0; // bad answers
 const SICK_BELOW: f64 = 0.05; // part of answers that are good
 const TRICKLE: f64 = 0.1; // seconds between legs to a sick node
+const OVERTAKEN: u64 = 4; // later legs answered before one that times out is taken for lost
+const LOST_LEAST: f64 = 2.0;
+const LOST_PART: f64 = 0.02;
+const LOST_HALVE: f64 = 128.0;
 const TIMEOUT_AT: f64 = 0.9; // part of the answers seen that are faster
 const TIMEOUT_TIMES: f64 = 3.0;
 const TIMEOUT_LEAST: f64 = 0.4; // of the SLO time
@@ -68,6 +72,9 @@
     turns: HashMap<KeyId, Turn>,
     xfers: HashMap<XferId, Xfer>,
     alarms: BinaryHeap<Reverse<(Instant, Alarm)>>,
+    lost: f64,
+    kept: f64,
+    losing: bool,
     due: BTreeSet<ShardId>,
     homeless: Vec<XferId>, // new objects for which no node was to be had
     decided: VecDeque<Decision>,
@@ -109,20 +116,16 @@
         self.mean_units = mean_units.max(1e-6);
     }
 
-    /// `longest_wait` is how long a client can be asked to stay away at most; zero: it can't be asked.
-    pub fn leg_limits(&mut self, most_legs: u32, longest_wait: Span) {
-        self.most_legs = most_legs;
-        self.longest_wait = longest_wait;
+    /// `longest_wait` is how long a client can be asked to stay away at most; zero: it can't be asked. `settle` is
+    /// how long a key rests after a leg that may still be running.
+    pub fn leg_limits(&mut self, most_legs: u32, longest_wait: Span, settle: Span) {
+        (self.most_legs, self.longest_wait, self.settle) = (most_legs, longest_wait, settle);
     }
 
     pub fn further_leg_budget(&mut self, free: f64, share: f64, window: Span) {
         self.budget = Budget { free, share, window: Some(window), ..Budget::default() };
     }
 
-    pub fn order_settle(&mut self, settle: Span) {
-        self.settle = settle;
-    }
-
     /// `safe` units within `window` from all hosts never hurt a node that starts at part `from` of its
     /// capacity and is warm after `warm`.
     pub fn cold_nodes(&mut self, safe: f64, from: f64, warm: Span, window: Span) {
@@ -165,7 +168,6 @@
         let expiry = now + left - self.margin;
         let x = Xfer::new(now, (volume, plan, stream), key, shard, units, slo_at, expiry);
         self.alarms.push(Reverse((x.expiry, Alarm::Expiry(id))));
-        self.alarms.push(Reverse((x.slo_at.max(now), Alarm::Late(id))));
         self.xfers.insert(id, x);
         if let Some(window) = self.budget.window {
             self.budget.prune(now, window + window);
@@ -198,27 +200,27 @@
         self.now = now;
         let Some(x) = self.xfers.get_mut(&id) else { return };
         let Some(i) = x.out.iter().position(|l| l.no == leg.0) else { return };
-        let Leg { no, node, held } = x.out.remove(i);
+        let Leg { no, node, passed, held } = x.out.remove(i);
         if x.ran.is_some_and(|r| r.0 == no) && !o.may_have_run() {
             x.ran = None;
         }
         let (units, stream, key) = (x.units, x.stream, x.key);
         let st = &self.streams[stream.0 as usize];
         if let Some(t) = key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
-            t.out -= 1;
-            if o.may_be_running() {
-                t.free_at = t.free_at.max(now + self.settle);
-            }
+            t.leg_back(o.may_be_running().then_some(now + self.settle));
         }
         let tightest = self.tightest.secs();
+        let mut lost = false;
         if let Some(n) = self.nodes.get_mut(&node) {
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
             n.answered(now, o, took.secs(), st.slo.secs(), tightest, held);
             if o == Outcome::Done {
+                n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
                 n.cold.level = (n.cold.level - units).max(0.0);
             }
+            lost = o == Outcome::TimedOut && n.done > passed + OVERTAKEN;
             let sick = n.bad >= SICK_AFTER && n.good < SICK_BELOW * (n.good + n.bad);
             if sick != n.sick {
                 n.sick = sick;
@@ -227,6 +229,7 @@
                 self.decided.push_back(Decision::Log(text));
             }
         }
+        self.loss(lost, o == Outcome::Done);
         if ended || o == Outcome::Done {
             self.finish(id);
         } else if self.xfers.get(&id).is_some_and(|x| !x.ended && x.out.is_empty()) {
@@ -235,6 +238,22 @@
         self.forget(id);
     }
 
+    /// Legs that time out though the node has long answered later ones got lost on the way; a slow node's did not.
+    fn loss(&mut self, lost: bool, done: bool) {
+        self.lost += f64::from(u8::from(lost));
+        self.kept += f64::from(u8::from(done));
+        let losing = self.lost >= LOST_LEAST && self.lost > LOST_PART * (self.lost + self.kept);
+        if losing != self.losing {
+            self.losing = losing;
+            let mode = if losing { "get lost" } else { "arrive" };
+            let text = format!("legs {mode}: {:.1} lost {:.1} answered", self.lost, self.kept);
+            self.decided.push_back(Decision::Log(text));
+        }
+        if self.lost + self.kept >= LOST_HALVE {
+            (self.lost, self.kept) = (self.lost / 2.0, self.kept / 2.0);
+        }
+    }
+
     /// The client has left, or the transfer was ended for us.
     pub fn transfer_gone(&mut self, now: Instant, id: XferId) {
         self.now = now;
@@ -348,20 +367,12 @@
                         self.answer(id, None);
                     }
                 }
-                Alarm::Late(id) => {
-                    if let Some(s) = self.xfers.get(&id).filter(|x| x.waiting).and_then(|x| x.shard) {
-                        self.due.insert(s);
-                    }
-                }
-                Alarm::Look(s) => {
-                    self.due.insert(s);
-                }
-                Alarm::List => {
-                    if !self.asked {
-                        self.asked = true;
-                        self.decided.push_back(Decision::FollowList);
-                    }
+                Alarm::Look(s) => _ = self.due.insert(s),
+                Alarm::List if !self.asked => {
+                    self.asked = true;
+                    self.decided.push_back(Decision::FollowList);
                 }
+                Alarm::List => {}
             }
         }
         loop {
@@ -585,20 +596,20 @@
             self.budget.further.push_back(now);
         }
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
-        x.send(now, node, held);
+        x.send(now, node, n.done + n.out as u64, held);
         n.leg_out(now, st.rank, x.units, x.key);
         if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
             t.out += 1;
         }
-        // A leg that answers nothing for far longer than this node's usual (lost, stuck or on a dead node) is
-        // given up while another can still be in time. May hurt where a node turns slow at one stroke: then the
-        // credit and the rising usual time bound what is sent twice.
+        // Where legs get lost, one that is out for far longer than this node's usual is given up while another
+        // can still be in time: against a bad link or lost answers, at one node or at all. May hurt where costly
+        // transfers are overtaken by cheap ones: then credit and the rising usual time bound what is sent twice.
         let seen = &n.latency[x.stream.0 as usize];
         let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
         let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
-        let again =
-            x.legs < self.most_legs && st.effect != Effect::Unrepeatable && seen.count() >= TIMEOUT_SEEN;
+        let spare = x.legs < self.most_legs && st.effect != Effect::Unrepeatable;
+        let again = self.losing && spare && seen.count() >= TIMEOUT_SEEN;
         let timeout = Some(timeout).filter(|t| again && now + *t < x.slo_at);
         Decision::Send { xfer: id, node, timeout }
     }
@@ -656,12 +667,8 @@
         x.waiting = false;
         let st = &self.streams[x.stream.0 as usize];
         if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
-            t.line.retain(|q| *q != id);
-            if t.holder == Some(id) {
-                t.holder = None;
-            }
-            let next = t.line.front().and_then(|q| self.xfers.get(q)).and_then(|x| x.shard);
-            self.due.extend(next);
+            let next = t.leave(id);
+            self.due.extend(next.and_then(|q| self.xfers.get(&q)).and_then(|x| x.shard));
         }
     }
 
@@ -677,11 +684,11 @@
         let Some(shard) = bound.or_else(|| self.rotate()) else { return self.homeless.push(id) };
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.shard = Some(shard);
+        self.alarms.push(Reverse((x.slo_at.max(self.now), Alarm::Look(shard))));
         let queue = self.shards.entry(shard).or_default().queues.entry((x.volume, x.stream)).or_default();
-        if first {
-            queue.push_front(id);
-        } else {
-            queue.push_back(id);
+        match first {
+            true => queue.push_front(id),
+            false => queue.push_back(id),
         }
         self.due.insert(shard);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,11 +78,11 @@
 }
 
 impl Xfer {
-    pub fn send(&mut self, now: Instant, node: NodeId, held: bool) {
+    pub fn send(&mut self, now: Instant, node: NodeId, passed: u64, held: bool) {
         self.ran = self.ran.or(Some((self.legs, now, node)));
         self.drew = true;
         self.waiting = false;
-        self.out.push(Leg { no: self.legs, node, held });
+        self.out.push(Leg { no: self.legs, node, passed, held });
         self.legs += 1;
     }
 
@@ -120,7 +120,8 @@
 pub struct Leg {
     pub no: u32,
     pub node: NodeId,
-    pub held: bool, // went out while the caps were what held transfers back
+    pub passed: u64, // once the node has answered more than this, later legs have overtaken it
+    pub held: bool,  // went out while the caps were what held transfers back
 }
 
 pub struct Node {
@@ -129,6 +130,7 @@
     pub shard: ShardId,
     pub up_since: Option<Instant>,
     pub out: usize,
+    pub done: u64,
     pub out_units: f64,
     pub out_rank: Vec<usize>,
     pub cap: f64,
@@ -227,8 +229,9 @@
 
     /// Forgets an earlier life, but for what is still out.
     pub fn restart(&mut self, now: Instant, e: &NodeEntry, seen: Vec<Histogram>, cap: f64, credit: f64) {
-        let (out, out_units, out_rank) = (self.out, self.out_units, std::mem::take(&mut self.out_rank));
-        *self = Node { out, out_units, out_rank, ..Node::new(now, e, 0, seen, cap, credit) };
+        let (out, done, out_units) = (self.out, self.done, self.out_units);
+        let out_rank = std::mem::take(&mut self.out_rank);
+        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, cap, credit) };
     }
 
     pub fn new(
@@ -245,6 +248,7 @@
             shard: e.shard,
             up_since: e.up_since,
             out: 0,
+            done: 0,
             out_units: 0.0,
             out_rank: vec![0; ranks],
             cap,
@@ -262,6 +266,20 @@
     }
 }
 
+impl Turn {
+    pub fn leg_back(&mut self, rest_until: Option<Instant>) {
+        self.out -= 1;
+        self.free_at = self.free_at.max(rest_until.unwrap_or_default());
+    }
+
+    /// A transfer is over; gives the next in line.
+    pub fn leave(&mut self, id: XferId) -> Option<XferId> {
+        self.line.retain(|q| *q != id);
+        self.holder = self.holder.filter(|h| *h != id);
+        self.line.front().copied()
+    }
+}
+
 /// Rule 4: what a node that has just come up is given by this host.
 #[derive(Default)]
 pub struct Cold {
@@ -273,7 +291,6 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Alarm {
-    Late(XferId),
     Expiry(XferId),
     Look(ShardId),
     List,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,7 +25,7 @@
         s.plan(0.0, 0.0, 0.0, 4.0, 1.0);
         s.plan(0.0, 0.0, 0.0, 0.0, 3.0);
         s.sizes(2.0);
-        s.leg_limits(4, secs(1.0));
+        s.leg_limits(4, secs(1.0), secs(0.3));
         Desk { s, now: 100.0, next: 0 }
     }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,9 +1,9 @@
 //! The ordinary path: buckets, order, shares, caps, the pick, and sameness.
 
 mod common;
-use common::{sent, Desk};
+use common::{secs, sent, Desk};
 use tackmast::histogram::Histogram;
-use tackmast::interface::{Decision, Effect, ListKind, NodeState, Outcome, XferId};
+use tackmast::interface::{Decision, Effect, LegNo, ListKind, NodeState, Outcome, XferId};
 
 fn desk(nodes: u32) -> Desk {
     let mut d = Desk::new(1, Effect::Repeatable, false);
@@ -113,6 +113,36 @@
     }
 }
 
+#[test]
+fn lost_legs_are_sent_again_in_time_and_slow_ones_are_not() {
+    // Whether every seventh leg is lost, or all come back slowly; whether time-outs are set in the end.
+    for (lossy, took, expected) in [(true, 0.02, true), (false, 0.02, false), (false, 0.3, false)] {
+        let mut d = desk(3);
+        let (mut silent, mut timed, mut legs) = (Vec::new(), 0, vec![0; 1200]);
+        for step in 0..1200u32 {
+            d.take(0, 2, step % 9, 1.0, (step % 3) as i32, step);
+            for x in d.pull() {
+                let Decision::Send { xfer, timeout, .. } = x else { continue };
+                timed += u32::from(step > 1000 && timeout.is_some());
+                legs[xfer.0 as usize] += 1;
+                match lossy && xfer.0 % 7 == 0 {
+                    true => silent.push((
+                        xfer,
+                        legs[xfer.0 as usize] - 1,
+                        d.now + timeout.map_or(2.9, |t| t.secs()),
+                    )),
+                    false => d.end(xfer, 0, Outcome::Done, took),
+                }
+            }
+            for (x, leg, _) in silent.extract_if(.., |s| s.2 <= d.now) {
+                d.s.leg_ended(d.at(), x, LegNo(leg), Outcome::TimedOut, secs(1.0), false);
+            }
+            d.now += 0.005;
+        }
+        assert_eq!(timed > 0, expected, "lossy {lossy} took {took}: {timed}");
+    }
+}
+
 #[test]
 fn new_objects_take_turns_by_what_nodes_manage() {
     // How long each of two nodes takes for an answer; the least and most that the first gets of 200.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -122,7 +122,6 @@
     // How the first one ends; how long the key then rests.
     for (outcome, rest) in [(Outcome::Done, 0.0), (Outcome::TimedOut, 0.3), (Outcome::Reset, 0.3)] {
         let mut d = Desk::new(1, Effect::Unrepeatable, true);
-        d.s.order_settle(secs(0.3));
         d.ready(1);
         let (a, b) = (d.take(0, 2, 0, 1.0, 0, 5), d.take(0, 2, 0, 1.0, 0, 5));
         let other = d.take(0, 2, 0, 1.0, 0, 6);
