Lost legs free their places also where no further leg can be in time

The module test of lost legs failed in the commit before: with a backlog every transfer is near its SLO time, no time-out was set, and lost legs filled the caps again. The time-out now only has to end before expiry.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -602,15 +602,15 @@
             t.holder = Some(id);
             t.out += 1;
         }
-        // Where legs get lost, one that is out for far longer than this node's usual is given up while another
-        // can still be in time: against a bad link or lost answers, at one node or at all. May hurt where costly
-        // transfers are overtaken by cheap ones: then credit and the rising usual time bound what is sent twice.
+        // Where legs get lost, one that is out for far longer than this node's usual is given up: another may be
+        // in time, and lost ones must not fill the caps. Against a bad link or lost answers, at one node or all.
+        // May hurt where cheap transfers overtake costly ones: credit and the usual time bound what goes twice.
         let seen = &n.latency[x.stream.0 as usize];
         let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
         let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
         let spare = x.legs < self.most_legs && st.effect != Effect::Unrepeatable;
         let again = self.losing && spare && seen.count() >= TIMEOUT_SEEN;
-        let timeout = Some(timeout).filter(|t| again && now + *t < x.slo_at);
+        let timeout = Some(timeout).filter(|t| again && now + *t < x.expiry);
         Decision::Send { xfer: id, node, timeout }
     }
 
