--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,8 @@
 const CAP_LEAST: f64 = 1.0;
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
-const CAP_CUT: f64 = 0.75;
+const CAP_CUT: f64 = 0.5; // at most to this part at once, the more the slower the answer
+const CAP_CUT_LEAST: f64 = 0.9;
 const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
 const EXCESS_PART: f64 = 0.7; // of the cap, for units past the reservation
 const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
@@ -322,20 +323,20 @@
                         self.cap = (self.cap + CAP_RISE / self.cap).min(CAP_MOST);
                     }
                 } else {
-                    self.cut(now, took);
+                    self.cut(now, took, CAP_TARGET * slo / took);
                 }
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Refused | Outcome::Reset => self.bad += 1.0,
-            Outcome::Full => self.cut(now, took),
+            Outcome::Full => self.cut(now, took, CAP_CUT),
             Outcome::Cancelled | Outcome::Skipped => {}
         }
         self.halve(HEALTH_HALVE);
     }
 
     /// At most one cut for what was out at once.
-    fn cut(&mut self, now: Instant, took: f64) {
+    fn cut(&mut self, now: Instant, took: f64, to: f64) {
         if (now - self.cut_at).secs() > took {
-            self.cap = (self.cap * CAP_CUT).max(CAP_LEAST);
+            self.cap = (self.cap * to.clamp(CAP_CUT, CAP_CUT_LEAST)).max(CAP_LEAST);
             self.cut_at = now;
         }
     }
