--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -37,6 +37,7 @@
     keys: Names,
     armed: Option<Instant>,
     token: u64,
+    tells: bool, // whether answers tell of service through other hosts
 }
 
 /// All instances that this process serves.
@@ -172,6 +173,7 @@
             keys: Names::default(),
             armed: None,
             token: 0,
+            tells: domain.get("says_others").and_then(Value::as_bool).unwrap_or(false),
         })
     }
 
@@ -214,9 +216,9 @@
                 let elapsed = Span::from_secs(number(v.get(5), "elapsed")?);
                 let ended = v.get(6).and_then(Value::as_bool).ok_or("ended: expected true or false")?;
                 if let Some(id) = self.xfers.known(text(v.get(1), "tid")?) {
-                    let used = v.get(7).and_then(Value::as_f64).filter(|u| *u > 0.0).map(|u| u - 1.0);
                     let elsewhere = v.get(8).and_then(Value::as_f64).unwrap_or(0.0);
-                    self.scheduler.service_reported(now, XferId(id), leg, used, elsewhere);
+                    let done = outcome == Outcome::Done;
+                    self.scheduler.service_reported(now, XferId(id), done, self.tells, elsewhere);
                     self.scheduler.leg_ended(now, XferId(id), leg, outcome, elapsed, ended);
                 }
             }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,6 +24,10 @@
 const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
 const TIGHT: f64 = 2.0; // streams within this multiple of the tightest SLO time judge the node
 const SLACK_AT_START: f64 = 0.5; // of the limit's slack, given by all hosts together when they start
+const SPLIT_FLOOR: f64 = 0.9; // of the even slice, whatever the share
+const SPLIT_RISE: f64 = 4.0; // seconds for which the least share seen holds, at least
+const SPLIT_IDLE: f64 = 1.5; // seconds without an answer after which the share falls away
+const SPLIT_LEAST: f64 = 4.0; // mean sizes served at a node before it is looked at alone
 const RESERVE_BURST: f64 = 1.0; // seconds of the reservation that its bucket holds
 const CREDIT_START: f64 = 2.0;
 const CREDIT_MOST: f64 = 8.0;
@@ -48,7 +52,8 @@
 const SAFE_EDGE: f64 = 0.02; // seconds kept from the edge of any stated window
 const LATENCY_FIRST: f64 = 0.002; // seconds, the lowest bin of answer times
 const LATENCY_HALVE: f64 = 64.0;
-const KEY_LOOK: usize = 16; // waiting transfers searched for one on the node's last key
+const USUAL_LEAST: f64 = 0.01; // seconds, the usual time of a node not yet heard from
+const QUEUE_LOOK: usize = 16; // waiting transfers searched for one that no guard of its own holds
 
 #[derive(Default)]
 pub struct Scheduler {
@@ -73,9 +78,7 @@
     turns: HashMap<KeyId, Turn>,
     xfers: HashMap<XferId, Xfer>,
     alarms: BinaryHeap<Reverse<(Instant, Alarm)>>,
-    lost: f64,
-    kept: f64,
-    losing: bool,
+    lost: Losses,
     due: BTreeSet<ShardId>,
     homeless: Vec<XferId>, // new objects for which no node was to be had
     decided: VecDeque<Decision>,
@@ -193,9 +196,15 @@
         }
     }
 
-    /// What an answer told of the volume's service: everywhere in a finished period, as a part of its plan's usual
-    /// rate in percent, and in units at this node through other hosts since its last answer to this one.
-    pub fn service_reported(&mut self, _: Instant, _: XferId, _: LegNo, _: Option<f64>, _: f64) {}
+    /// What an answer told of the volume's service at this node: units for this host, and those through other
+    /// hosts since the node's last answer to this one. `known` is false where nodes don't tell.
+    pub fn service_reported(&mut self, now: Instant, id: XferId, done: bool, known: bool, elsewhere: f64) {
+        let Some((x, shard)) = self.xfers.get(&id).and_then(|x| Some((x, x.shard?))) else { return };
+        let Some(v) = self.volumes.get_mut(&x.volume).filter(|_| known) else { return };
+        let own = if done { x.units } else { 0.0 };
+        v.split.tick(now, Span::from_secs(SPLIT_RISE), Span::from_secs(SPLIT_IDLE));
+        v.split.served(now, shard, own, elsewhere, SPLIT_LEAST * self.mean_units);
+    }
 
     pub fn leg_ended(&mut self, now: Instant, id: XferId, leg: LegNo, o: Outcome, took: Span, ended: bool) {
         self.now = now;
@@ -223,8 +232,7 @@
             }
             lost = o == Outcome::TimedOut && n.done > passed + OVERTAKEN;
             let sick = n.bad >= SICK_AFTER && n.good < SICK_BELOW * (n.good + n.bad);
-            if sick != n.sick {
-                n.sick = sick;
+            if sick != std::mem::replace(&mut n.sick, sick) {
                 let mode = if sick { "sick" } else { "well" };
                 let text = format!("node {} {mode}: good {:.1} bad {:.1}", node.0, n.good, n.bad);
                 self.decided.push_back(Decision::Log(text));
@@ -241,18 +249,14 @@
 
     /// Legs that time out though the node has long answered later ones got lost on the way; a slow node's did not.
     fn loss(&mut self, lost: bool, done: bool) {
-        self.lost += f64::from(u8::from(lost));
-        self.kept += f64::from(u8::from(done));
-        let losing = self.lost >= LOST_LEAST && self.lost > LOST_PART * (self.lost + self.kept);
-        if losing != self.losing {
-            self.losing = losing;
+        self.lost.note(lost, done, LOST_HALVE);
+        let l = &mut self.lost;
+        let losing = l.lost >= LOST_LEAST && l.lost > LOST_PART * (l.lost + l.kept);
+        if losing != std::mem::replace(&mut l.losing, losing) {
             let mode = if losing { "get lost" } else { "arrive" };
-            let text = format!("legs {mode}: {:.1} lost {:.1} answered", self.lost, self.kept);
+            let text = format!("legs {mode}: {:.1} lost {:.1} answered", l.lost, l.kept);
             self.decided.push_back(Decision::Log(text));
         }
-        if self.lost + self.kept >= LOST_HALVE {
-            (self.lost, self.kept) = (self.lost / 2.0, self.kept / 2.0);
-        }
     }
 
     /// The client has left, or the transfer was ended for us.
@@ -413,7 +417,7 @@
             let x = &self.xfers[&head];
             let plan = &self.plans[x.plan.0 as usize];
             let conforming = self.volumes.get_mut(&x.volume).is_some_and(|v| {
-                let part = plan.reserve / v.hosts;
+                let part = plan.reserve * Self::part(v, now);
                 plan.reserve > 0.0
                     && v.reserve.wait(now, part, part * RESERVE_BURST + x.units, x.units) == Span::ZERO
             });
@@ -462,15 +466,13 @@
             let nd = node.and_then(|n| self.nodes.get(&n));
             let usual = nd.map_or(Span::ZERO, |n| n.usual(name.1));
             if self.now + usual < x.slo_at {
-                let key = nd.and_then(|n| n.last_key);
-                // What a guard of its own holds (a pause, its key's turn) must not hold those behind it. Of the
-                // rest, one on the data that the node took last costs it less.
+                // What a guard of its own holds (a pause, its key's turn) must not hold those behind it.
                 let queue = self.shards.get(&shard)?.queues.get(&name)?;
-                let known = queue.iter().take(KEY_LOOK).filter_map(|q| Some((q, self.xfers.get(q)?)));
-                let mut open = known
-                    .filter(|(q, x)| x.waiting && x.hold <= self.now && self.turn_wait(**q, x).is_none());
-                let same = open.clone().find(|(_, x)| key.is_some() && x.key == key && x.legs == 0);
-                let best = same.or_else(|| open.next()).map(|b| b.0);
+                let open = |q: &&XferId| {
+                    let x = self.xfers.get(q).filter(|x| x.waiting && x.hold <= self.now);
+                    x.is_some_and(|x| self.turn_wait(**q, x).is_none())
+                };
+                let best = queue.iter().take(QUEUE_LOOK).find(open);
                 return Some(best.copied().unwrap_or(id));
             }
             queue.pop_front();
@@ -532,7 +534,8 @@
         let plan = &self.plans[x.plan.0 as usize];
         if plan.limit > 0.0 && !x.drew {
             if let Some(v) = self.volumes.get_mut(&x.volume) {
-                let wait = v.limit.wait(now, plan.limit / v.hosts, plan.burst / v.hosts, x.units);
+                let rate = plan.limit * Self::part(v, now);
+                let wait = v.limit.wait(now, rate, plan.burst / v.hosts, x.units);
                 if wait > Span::ZERO {
                     return Err(now + wait);
                 }
@@ -541,6 +544,15 @@
         self.cold_room(node, self.xfers[&id].units)
     }
 
+    /// Rule 7: this host's part of a volume's rates. An even slice until answers tell of the volume's service
+    /// at other hosts, then a floor and the rest by share. The share falls at once and when idle, and rises only
+    /// after longer than the others need to have fallen, so the parts never sum past the whole.
+    fn part(v: &mut Volume, now: Instant) -> f64 {
+        v.split.tick(now, Span::from_secs(SPLIT_RISE), Span::from_secs(SPLIT_IDLE));
+        let Some(share) = v.split.share() else { return 1.0 / v.hosts };
+        SPLIT_FLOOR / v.hosts + (1.0 - SPLIT_FLOOR) * share
+    }
+
     /// Rule 5: until when, at least, another transfer or an unknown outcome keeps the key's turn from this one.
     fn turn_wait(&self, id: XferId, x: &Xfer) -> Option<Instant> {
         let t = self.turns.get(&x.key.filter(|_| self.streams[x.stream.0 as usize].in_order)?)?;
@@ -598,7 +610,7 @@
         }
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
         x.send(now, node, n.done + n.out as u64, held);
-        n.leg_out(now, st.rank, x.units, x.key);
+        n.leg_out(now, st.rank, x.units);
         if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
             t.out += 1;
@@ -610,7 +622,7 @@
         let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
         let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
         let spare = x.legs < self.most_legs && st.effect != Effect::Unrepeatable;
-        let again = self.losing && spare && seen.count() >= TIMEOUT_SEEN;
+        let again = self.lost.losing && spare && seen.count() >= TIMEOUT_SEEN;
         let timeout = Some(timeout).filter(|t| again && now + *t < x.expiry);
         Decision::Send { xfer: id, node, timeout }
     }
@@ -696,24 +708,12 @@
 
     /// New objects: the nodes take turns, weighted by what each was seen to manage (its cap over its usual time).
     fn rotate(&mut self) -> Option<ShardId> {
-        let (now, cold) = (self.now, &self.cold);
-        let mut total = 0.0;
-        let mut best: Option<(f64, NodeId)> = None;
-        for (id, n) in &mut self.nodes {
-            let fresh = n.up_since.is_some_and(|u| now - u < cold.warm);
-            if n.state != NodeState::Ready || n.sick {
-                continue;
-            }
-            let usual: f64 = n.latency.iter().filter_map(|h| h.at(0.5)).sum::<f64>().max(0.01);
-            let weight = if fresh { cold.from } else { 1.0 } * n.cap / usual;
-            n.turn += weight;
-            total += weight;
-            if best.is_none_or(|b| n.turn > b.0) {
-                best = Some((n.turn, *id));
-            }
-        }
-        let n = self.nodes.get_mut(&best?.1)?;
-        n.turn -= total;
-        Some(n.shard)
+        let able = self.nodes.values_mut().filter(|n| n.state == NodeState::Ready && !n.sick);
+        take_turn(able.map(|n| {
+            let fresh = n.up_since.is_some_and(|u| self.now - u < self.cold.warm);
+            let usual: f64 = n.latency.iter().filter_map(|h| h.at(0.5)).sum::<f64>().max(USUAL_LEAST);
+            let weight = if fresh { self.cold.from } else { 1.0 } * n.cap / usual;
+            (n, weight)
+        }))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,12 +48,75 @@
     pub hosts: f64,
     pub limit: Bucket,
     pub reserve: Bucket,
+    pub split: Split,
+}
+
+/// A volume's service here and through other hosts, and the least share of it that was ours lately.
+#[derive(Default)]
+pub struct Split {
+    told: bool,
+    shards: BTreeMap<ShardId, (f64, f64)>,
+    answered: Instant,
+    period: Instant,
+    least: [f64; 2], // in this period and the one before
+    pub last: f64,
+}
+
+impl Split {
+    pub fn new(now: Instant, hosts: f64) -> Self {
+        let even = 1.0 / hosts;
+        Split { answered: now, period: now, least: [even, even], last: even, ..Split::default() }
+    }
+
+    /// Nothing until a node has told of service at other hosts.
+    pub fn share(&self) -> Option<f64> {
+        self.told.then(|| self.least[0].min(self.least[1]))
+    }
+
+    /// Halves what was counted at each new period, and lets the share fall away after `idle` without an answer.
+    pub fn tick(&mut self, now: Instant, period: Span, idle: Span) {
+        if now - self.answered > idle {
+            self.note(0.0);
+        }
+        if now - self.period >= period {
+            self.period = now;
+            self.least = [self.last, self.least[0]];
+            self.shards.values_mut().for_each(|s| *s = (s.0 / 2.0, s.1 / 2.0));
+        }
+    }
+
+    fn note(&mut self, share: f64) {
+        self.last = share;
+        self.least[0] = self.least[0].min(share);
+    }
+
+    /// The share is the least over the shards, so that hosts that see different shards can't claim the same
+    /// service twice; shards that served less than `few` are taken together.
+    pub fn served(&mut self, now: Instant, shard: ShardId, own: f64, others: f64, few: f64) {
+        self.answered = now;
+        let s = self.shards.entry(shard).or_default();
+        *s = (s.0 + own, s.1 + others);
+        let (mut rest, mut least) = ((0.0, 0.0), 1.0f64);
+        for &(own, others) in self.shards.values() {
+            match own + others < few {
+                true => rest = (rest.0 + own, rest.1 + others),
+                false => least = least.min(own / (own + others)),
+            }
+        }
+        if rest.0 + rest.1 >= few {
+            least = least.min(rest.0 / (rest.0 + rest.1));
+        }
+        if self.told || others > 0.0 {
+            self.told = true;
+            self.note(least);
+        }
+    }
 }
 
 impl Volume {
     pub fn new(now: Instant, hosts: f64, drawn: f64) -> Self {
         let limit = Bucket { level: drawn, at: now };
-        Volume { hosts, limit, reserve: Bucket { level: 0.0, at: now } }
+        Volume { hosts, limit, reserve: Bucket { level: 0.0, at: now }, split: Split::new(now, hosts) }
     }
 }
 
@@ -141,7 +204,6 @@
     pub sick: bool,
     pub sent_at: Instant,
     pub cold: Bucket,
-    pub last_key: Option<KeyId>,
     pub latency: Vec<Histogram>,
     pub turn: f64,
 }
@@ -205,13 +267,12 @@
 }
 
 impl Node {
-    pub fn leg_out(&mut self, now: Instant, rank: usize, units: f64, key: Option<KeyId>) {
+    pub fn leg_out(&mut self, now: Instant, rank: usize, units: f64) {
         self.out += 1;
         self.out_units += units;
         self.out_rank[rank] += 1;
         self.cold.level += units;
         self.sent_at = now;
-        self.last_key = key;
     }
 
     pub fn leg_back(&mut self, rank: usize, units: f64) {
@@ -259,7 +320,6 @@
             sick: false,
             sent_at: now,
             cold: Bucket { level: 0.0, at: now },
-            last_key: None,
             latency: seen,
             turn: 0.0,
         }
@@ -304,3 +364,36 @@
         Chance(oorandom::Rand32::new(0))
     }
 }
+
+/// Smooth weighted rotation: each gains its weight, and the one that has most takes the turn and pays for all.
+pub fn take_turn<'a>(nodes: impl Iterator<Item = (&'a mut Node, f64)>) -> Option<ShardId> {
+    let (mut total, mut best) = (0.0, None::<&mut Node>);
+    for (n, weight) in nodes {
+        n.turn += weight;
+        total += weight;
+        if best.as_ref().is_none_or(|b| n.turn > b.turn) {
+            best = Some(n);
+        }
+    }
+    let n = best?;
+    n.turn -= total;
+    Some(n.shard)
+}
+
+/// Legs that got lost, against those answered, halved now and then.
+#[derive(Default)]
+pub struct Losses {
+    pub lost: f64,
+    pub kept: f64,
+    pub losing: bool,
+}
+
+impl Losses {
+    pub fn note(&mut self, lost: bool, kept: bool, halve_at: f64) {
+        self.lost += f64::from(u8::from(lost));
+        self.kept += f64::from(u8::from(kept));
+        if self.lost + self.kept >= halve_at {
+            (self.lost, self.kept) = (self.lost / 2.0, self.kept / 2.0);
+        }
+    }
+}
