--- a/src/policy.rs
+++ b/src/policy.rs
@@ -156,12 +156,15 @@
         units: f64,
         shard: Option<ShardId>,
         hosts: u32,
+        later_try: bool,
     ) {
         self.now = now;
         let st = &mut self.streams[stream.0 as usize];
         st.longest = st.longest.max(left);
-        // A client's later try has less time left: its SLO time began with the first try.
-        let slo_at = now + st.slo + left - st.longest;
+        // A client's marked later try began its SLO time with the first. Little time left proves nothing by itself:
+        // some clients never leave more, and their transfers must not be taken for late ones.
+        let used = if later_try { st.longest - left } else { Span::ZERO };
+        let slo_at = now + st.slo - used;
         let key_ordered = if st.in_order { key } else { None };
         let (p, told) = (&self.plans[plan.0 as usize], f64::from(hosts.max(1)));
         // A new life of a host can't know what an earlier one drew, so its limit bucket starts full, but for part
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,7 +57,7 @@
         let (at, left) = (self.at(), secs(3.0));
         let shard = u32::try_from(shard).ok().map(ShardId);
         let (st, pl, vol) = (StreamId(stream), PlanId(plan), VolumeId(volume));
-        self.s.transfer_arrived(at, id, st, pl, Some(KeyId(key)), left, vol, units, shard, 2);
+        self.s.transfer_arrived(at, id, st, pl, Some(KeyId(key)), left, vol, units, shard, 2, false);
         id
     }
 
