--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -198,7 +198,6 @@
                     number(v.get(7), "weight")?,
                     u32::try_from(shard).ok().map(ShardId),
                     index(v.get(9), "hosts")?,
-                    v.get(10).and_then(Value::as_u64).unwrap_or(0) & 2 != 0,
                 );
             }
             "Completed" => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -51,13 +51,6 @@
     }
 }
 
-impl Sub for Span {
-    type Output = Span;
-    fn sub(self, s: Span) -> Span {
-        Span(self.0.saturating_sub(s.0))
-    }
-}
-
 impl Add for Span {
     type Output = Span;
     fn add(self, s: Span) -> Span {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,6 +28,7 @@
 const SPLIT_RISE: f64 = 4.0; // seconds for which the least share seen holds, at least
 const SPLIT_IDLE: f64 = 1.5; // seconds without an answer after which the share falls away
 const SPLIT_LEAST: f64 = 4.0; // mean sizes served at a node before it is looked at alone
+const UNDONE_MEMORY: f64 = 10.0; // seconds for which a later try is known by its first
 const RESERVE_BURST: f64 = 1.0; // seconds of the reservation that its bucket holds
 const CREDIT_START: f64 = 2.0;
 const CREDIT_MOST: f64 = 8.0;
@@ -79,6 +80,7 @@
     xfers: HashMap<XferId, Xfer>,
     alarms: BinaryHeap<Reverse<(Instant, Alarm)>>,
     lost: Losses,
+    undone: Undones,
     due: BTreeSet<ShardId>,
     homeless: Vec<XferId>, // new objects for which no node was to be had
     decided: VecDeque<Decision>,
@@ -106,7 +108,7 @@
 
     /// Stream types are numbered in the order given.
     pub fn stream(&mut self, slo: Span, effect: Effect, in_order: bool) {
-        self.streams.push(Stream { slo, rank: 0, effect, in_order, longest: Span::ZERO });
+        self.streams.push(Stream { slo, rank: 0, effect, in_order });
         let mut slos: Vec<Span> = self.streams.iter().map(|s| s.slo).collect();
         slos.sort();
         slos.dedup();
@@ -156,22 +158,19 @@
         units: f64,
         shard: Option<ShardId>,
         hosts: u32,
-        later_try: bool,
     ) {
         self.now = now;
-        let st = &mut self.streams[stream.0 as usize];
-        st.longest = st.longest.max(left);
-        // A client's marked later try began its SLO time with the first. Little time left proves nothing by itself:
-        // some clients never leave more, and their transfers must not be taken for late ones.
-        let used = if later_try { st.longest - left } else { Span::ZERO };
-        let slo_at = now + st.slo - used;
-        let key_ordered = if st.in_order { key } else { None };
+        let st = &self.streams[stream.0 as usize];
         let (p, told) = (&self.plans[plan.0 as usize], f64::from(hosts.max(1)));
         // A new life of a host can't know what an earlier one drew, so its limit bucket starts full, but for part
         // of what the rule lets pass: a restart must not hand itself a second burst.
         let full = (p.burst - p.slack * SLACK_AT_START) / told;
         let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, told, full));
         v.hosts = v.hosts.max(told);
+        // A client's later try began its SLO time with its first one: it asks for the same as one that we answered
+        // without doing it, with less time left. Little time left alone proves nothing: some clients are in a hurry.
+        let ask = (volume, stream, key, shard, units.to_bits());
+        let slo_at = self.undone.again(now, ask, left).unwrap_or(now + st.slo);
         let expiry = now + left - self.margin;
         let x = Xfer::new(now, (volume, plan, stream), key, shard, units, slo_at, expiry);
         self.alarms.push(Reverse((x.expiry, Alarm::Expiry(id))));
@@ -180,7 +179,7 @@
             self.budget.prune(now, window + window);
             self.budget.taken.push_back(now);
         }
-        if let Some(k) = key_ordered {
+        if let Some(k) = key.filter(|_| st.in_order) {
             self.turns.entry(k).or_default().line.push_back(id);
         }
         self.enqueue(id, false);
@@ -194,9 +193,7 @@
     /// A streamed answer has begun: its client has it, and nothing is owed by a set time any more.
     pub fn answer_started(&mut self, now: Instant, id: XferId) {
         self.now = now;
-        if let Some(x) = self.xfers.get_mut(&id) {
-            x.started = true;
-        }
+        self.xfers.entry(id).and_modify(|x| x.started = true);
     }
 
     /// What an answer told of the volume's service at this node: units for this host, and those through other
@@ -673,6 +670,9 @@
             true => Decision::Defer { xfer: id, come_back: wait },
             false => Decision::Abandon { xfer: id },
         });
+        let ask = (x.volume, x.stream, x.key, x.shard.filter(|_| !x.any_node), x.units.to_bits());
+        let keep = self.now + Span::from_secs(UNDONE_MEMORY);
+        self.undone.note(ask, Undone { slo_at: x.slo_at, left: x.expiry + self.margin - x.arrived, keep });
         self.finish(id);
         self.forget(id);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::histogram::Histogram;
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// The document's alternate bucket: units are added as they are sent, drain at `rate`, and wait for room.
 #[derive(Default)]
@@ -41,7 +41,6 @@
     pub rank: usize,
     pub effect: Effect,
     pub in_order: bool,
-    pub longest: Span, // the longest time a client of this stream has been seen to leave us
 }
 
 pub struct Volume {
@@ -51,6 +50,43 @@
     pub split: Split,
 }
 
+/// What a transfer asks for: its client's later try asks for the same.
+pub type Ask = (VolumeId, StreamId, Option<KeyId>, Option<ShardId>, u64);
+
+/// A transfer that was answered without being done.
+pub struct Undone {
+    pub slo_at: Instant,
+    pub left: Span, // to its client when it came
+    pub keep: Instant,
+}
+
+#[derive(Default)]
+pub struct Undones {
+    by_ask: HashMap<Ask, VecDeque<Undone>>,
+    order: VecDeque<(Instant, Ask)>,
+}
+
+impl Undones {
+    pub fn note(&mut self, ask: Ask, undone: Undone) {
+        self.order.push_back((undone.keep, ask));
+        self.by_ask.entry(ask).or_default().push_back(undone);
+    }
+
+    /// When the SLO time ends that began with an earlier try, if this is a later one.
+    pub fn again(&mut self, now: Instant, ask: Ask, left: Span) -> Option<Instant> {
+        while let Some((_, old)) = self.order.pop_front_if(|o| o.0 <= now) {
+            let Some(list) = self.by_ask.get_mut(&old) else { continue };
+            list.retain(|u| u.keep > now);
+            if list.is_empty() {
+                self.by_ask.remove(&old);
+            }
+        }
+        let list = self.by_ask.get_mut(&ask)?;
+        let i = list.iter().position(|u| left < u.left)?;
+        list.remove(i).map(|u| u.slo_at)
+    }
+}
+
 /// A volume's service here and through other hosts, and the least share of it that was ours lately.
 #[derive(Default)]
 pub struct Split {
@@ -128,6 +164,7 @@
     pub shard: Option<ShardId>,
     pub any_node: bool,
     pub units: f64,
+    pub arrived: Instant,
     pub slo_at: Instant,
     pub expiry: Instant,
     pub hold: Instant, // no leg before this
@@ -166,6 +203,7 @@
             shard,
             any_node: shard.is_none(),
             units,
+            arrived: now,
             slo_at,
             expiry,
             hold: now,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub struct Desk {
     pub s: Scheduler,
     pub now: f64,
+    pub left: f64,
     next: u32,
 }
 
@@ -26,7 +27,7 @@
         s.plan(0.0, 0.0, 0.0, 0.0, 3.0);
         s.sizes(2.0);
         s.leg_limits(4, secs(1.0), secs(0.3));
-        Desk { s, now: 100.0, next: 0 }
+        Desk { s, now: 100.0, left: 3.0, next: 0 }
     }
 
     pub fn at(&self) -> Instant {
@@ -54,10 +55,10 @@
     pub fn take(&mut self, stream: u32, plan: u32, volume: u32, units: f64, shard: i32, key: u32) -> XferId {
         let id = XferId(self.next);
         self.next += 1;
-        let (at, left) = (self.at(), secs(3.0));
+        let (at, left) = (self.at(), secs(self.left));
         let shard = u32::try_from(shard).ok().map(ShardId);
         let (st, pl, vol) = (StreamId(stream), PlanId(plan), VolumeId(volume));
-        self.s.transfer_arrived(at, id, st, pl, Some(KeyId(key)), left, vol, units, shard, 2, false);
+        self.s.transfer_arrived(at, id, st, pl, Some(KeyId(key)), left, vol, units, shard, 2);
         id
     }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -143,6 +143,21 @@
     }
 }
 
+#[test]
+fn a_later_try_keeps_its_first_ones_slo_time() {
+    // Key and time left of what comes after a transfer on key 1 with 3 s left was deferred; whether it is in time.
+    for (key, left, in_time) in [(1, 2.4, false), (2, 2.4, true), (1, 3.0, true), (2, 0.3, true)] {
+        let mut d = Desk::new(1, Effect::Repeatable, false);
+        d.take(0, 0, 0, 1.0, 0, 1);
+        assert!(d.until(100.6).iter().any(|(_, x)| matches!(x, Decision::Defer { .. })));
+        d.ready(1);
+        d.left = left;
+        let x = d.take(0, 0, 0, 1.0, 0, key);
+        let sent = d.pull().iter().filter_map(sent).any(|s| s.0 == x);
+        assert_eq!(sent, in_time, "key {key} with {left} s left");
+    }
+}
+
 #[test]
 fn new_objects_take_turns_by_what_nodes_manage() {
     // How long each of two nodes takes for an answer; the least and most that the first gets of 200.
