--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,8 +122,8 @@
         self.mean_units = mean_units.max(1e-6);
     }
 
-    /// `longest_wait` is how long a client can be asked to stay away at most; zero: it can't be asked. `settle` is
-    /// how long a key rests after a leg that may still be running.
+    /// `longest_wait` is the longest that a client can be asked to stay away; zero: it can't be asked.
+    /// `settle` is how long a key rests after a leg that may still be running.
     pub fn leg_limits(&mut self, most_legs: u32, longest_wait: Span, settle: Span) {
         (self.most_legs, self.longest_wait, self.settle) = (most_legs, longest_wait, settle);
     }
@@ -162,13 +162,13 @@
         self.now = now;
         let st = &self.streams[stream.0 as usize];
         let (p, told) = (&self.plans[plan.0 as usize], f64::from(hosts.max(1)));
-        // A new life of a host can't know what an earlier one drew, so its limit bucket starts full, but for part
-        // of what the rule lets pass: a restart must not hand itself a second burst.
+        // A new life of a host can't know what an earlier one drew: its limit bucket starts full, but for
+        // part of what the rule lets pass. A restart must not hand itself a second burst.
         let full = (p.burst - p.slack * SLACK_AT_START) / told;
         let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, told, full));
         v.hosts = v.hosts.max(told);
-        // A client's later try began its SLO time with its first one: it asks for the same as one that we answered
-        // without doing it, with less time left. Little time left alone proves nothing: some clients are in a hurry.
+        // A client's later try began its SLO time with its first: it asks for the same as one answered
+        // undone, with less time left. Little time left alone proves nothing: some clients are in a hurry.
         let ask = (volume, stream, key, shard, units.to_bits());
         let slo_at = self.undone.again(now, ask, left).unwrap_or(now + st.slo);
         let expiry = now + left - self.margin;
@@ -247,7 +247,7 @@
         self.forget(id);
     }
 
-    /// Legs that time out though the node has long answered later ones got lost on the way; a slow node's did not.
+    /// A leg that times out though its node has long answered later ones got lost; a slow node's did not.
     fn loss(&mut self, lost: bool, done: bool) {
         self.lost.note(lost, done, LOST_HALVE);
         let l = &mut self.lost;
@@ -367,17 +367,13 @@
         while self.alarms.peek().is_some_and(|Reverse((t, _))| *t <= now) {
             let Some(Reverse((_, alarm))) = self.alarms.pop() else { break };
             match alarm {
-                Alarm::Expiry(id) => {
-                    if self.xfers.get(&id).is_some_and(|x| !x.started) {
-                        self.answer(id, None);
-                    }
-                }
+                Alarm::Expiry(id) if self.xfers.get(&id).is_some_and(|x| !x.started) => self.answer(id, None),
                 Alarm::Look(s) => _ = self.due.insert(s),
                 Alarm::List if !self.asked => {
                     self.asked = true;
                     self.decided.push_back(Decision::FollowList);
                 }
-                Alarm::List => {}
+                Alarm::Expiry(_) | Alarm::List => {}
             }
         }
         loop {
@@ -387,9 +383,7 @@
             let shard = *self.due.first()?;
             match self.pick(shard) {
                 Some((id, node, conforming)) => return Some(self.send(shard, id, node, conforming)),
-                None => {
-                    self.due.remove(&shard);
-                }
+                None => _ = self.due.remove(&shard),
             }
         }
     }
@@ -545,15 +539,15 @@
     }
 
     /// Rule 7: this host's part of a volume's rates. An even slice until answers tell of the volume's service
-    /// at other hosts, then a floor and the rest by share. The share falls at once and when idle, and rises only
-    /// after longer than the others need to have fallen, so the parts never sum past the whole.
+    /// at other hosts, then a floor and the rest by share. The share falls at once and when idle, and rises
+    /// only after longer than the others need to have fallen, so the parts never sum past the whole.
     fn part(v: &mut Volume, now: Instant) -> f64 {
         v.split.tick(now, Span::from_secs(SPLIT_RISE), Span::from_secs(SPLIT_IDLE));
         let Some(share) = v.split.share() else { return 1.0 / v.hosts };
         SPLIT_FLOOR / v.hosts + (1.0 - SPLIT_FLOOR) * share
     }
 
-    /// Rule 5: until when, at least, another transfer or an unknown outcome keeps the key's turn from this one.
+    /// Rule 5: until when, at least, another transfer or an unknown outcome keeps the key from this one.
     fn turn_wait(&self, id: XferId, x: &Xfer) -> Option<Instant> {
         let t = self.turns.get(&x.key.filter(|_| self.streams[x.stream.0 as usize].in_order)?)?;
         let free = t.holder == Some(id) || (t.out == 0 && t.free_at <= self.now);
@@ -567,8 +561,8 @@
         further + 1.0 <= self.budget.free + self.budget.share * taken
     }
 
-    /// Rule 4. Units out and not answered stay under this host's part of the always-safe figure, which grows no
-    /// faster than the slowest warming; an answer frees its units, since that work has been done.
+    /// Rule 4. Units sent and not answered stay under this host's part of the always-safe figure, which grows
+    /// no faster than the slowest warming; an answer frees its units, since that work has been done.
     fn cold_room(&mut self, node: NodeId, units: f64) -> Result<(), Instant> {
         let (c, now) = (&self.cold, self.now);
         let Some(n) = self.nodes.get_mut(&node) else { return Ok(()) };
@@ -615,9 +609,9 @@
             t.holder = Some(id);
             t.out += 1;
         }
-        // Where legs get lost, one that is out for far longer than this node's usual is given up: another may be
-        // in time, and lost ones must not fill the caps. Against a bad link or lost answers, at one node or all.
-        // May hurt where cheap transfers overtake costly ones: credit and the usual time bound what goes twice.
+        // Where legs get lost, one out for far longer than this node's usual is given up: another may be in
+        // time, and lost ones must not fill the caps. Against bad links and lost answers at any node. May
+        // hurt where cheap transfers overtake costly ones: credit and the usual time bound what goes twice.
         let seen = &n.latency[x.stream.0 as usize];
         let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
         let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
@@ -645,7 +639,7 @@
         }
     }
 
-    /// A leg ended without success: another one where the rules and time allow, else the final answer at once.
+    /// A leg ended without success: another where the rules and time allow, else the final answer at once.
     fn go_on(&mut self, id: XferId) {
         let Some(x) = self.xfers.get(&id) else { return };
         if x.legs >= self.most_legs || x.slo_at <= self.now || !self.rerun_safe(x, None) {
@@ -689,8 +683,12 @@
     }
 
     fn forget(&mut self, id: XferId) {
-        if self.xfers.get(&id).is_some_and(|x| x.ended && x.out.is_empty()) {
-            self.xfers.remove(&id);
+        let over = self.xfers.get(&id).filter(|x| x.ended && x.out.is_empty());
+        let Some(key) = over.map(|x| x.key) else { return };
+        self.xfers.remove(&id);
+        let now = self.now;
+        if let Some(k) = key.filter(|k| self.turns.get(k).is_some_and(|t| t.is_idle(now))) {
+            self.turns.remove(&k);
         }
     }
 
@@ -709,7 +707,7 @@
         self.due.insert(shard);
     }
 
-    /// New objects: the nodes take turns, weighted by what each was seen to manage (its cap over its usual time).
+    /// New objects: nodes take turns, weighted by what each was seen to manage (cap over usual time).
     fn rotate(&mut self) -> Option<ShardId> {
         let able = self.nodes.values_mut().filter(|n| n.state == NodeState::Ready && !n.sick);
         take_turn(able.map(|n| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,7 +109,7 @@
         self.told.then(|| self.least[0].min(self.least[1]))
     }
 
-    /// Halves what was counted at each new period, and lets the share fall away after `idle` without an answer.
+    /// Halves what was counted at each new period; the share falls away after `idle` without an answer.
     pub fn tick(&mut self, now: Instant, period: Span, idle: Span) {
         if now - self.answered > idle {
             self.note(0.0);
@@ -370,6 +370,10 @@
         self.free_at = self.free_at.max(rest_until.unwrap_or_default());
     }
 
+    pub fn is_idle(&self, now: Instant) -> bool {
+        self.line.is_empty() && self.out == 0 && self.free_at <= now
+    }
+
     /// A transfer is over; gives the next in line.
     pub fn leave(&mut self, id: XferId) -> Option<XferId> {
         self.line.retain(|q| *q != id);
@@ -403,7 +407,7 @@
     }
 }
 
-/// Smooth weighted rotation: each gains its weight, and the one that has most takes the turn and pays for all.
+/// Smooth weighted rotation: each gains its weight; the one that has most takes the turn and pays for all.
 pub fn take_turn<'a>(nodes: impl Iterator<Item = (&'a mut Node, f64)>) -> Option<ShardId> {
     let (mut total, mut best) = (0.0, None::<&mut Node>);
     for (n, weight) in nodes {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -53,7 +53,7 @@
 
 #[test]
 fn excess_units_follow_the_weights() {
-    // Plans and units of two volumes that always have work waiting; what the first is served for one of the other.
+    // Plans and units of two volumes that always have work waiting; what the first gets for one of the other.
     for (plans, units, expected) in
         [([2, 3], [1.0, 1.0], 3.0), ([3, 3], [1.0, 4.0], 1.0), ([2, 3], [4.0, 1.0], 3.0)]
     {
@@ -148,7 +148,7 @@
 
 #[test]
 fn a_later_try_keeps_its_first_ones_slo_time() {
-    // Key and time left of what comes after a transfer on key 1 with 3 s left was deferred; whether it is in time.
+    // Key and time left of what comes after one on key 1 with 3 s left was deferred; whether it is in time.
     for (key, left, in_time) in [(1, 2.4, false), (2, 2.4, true), (1, 3.0, true), (2, 0.3, true)] {
         let mut d = Desk::new(1, Effect::Repeatable, false);
         d.take(0, 0, 0, 1.0, 0, 1);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -169,8 +169,8 @@
 
 #[test]
 fn all_hosts_together_keep_the_limit() {
-    // Whether one of the two hosts is killed and starts again midway; whether answers tell of service at the other
-    // host; transfers in 10 that come to the first host before and after the lead changes.
+    // Whether one of the two hosts is killed and starts again midway; whether answers tell of service through
+    // the other; transfers in 10 that come to the first host before and after the lead changes.
     let table = [
         (false, false, 5, 5),
         (true, false, 5, 5),
