--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -111,7 +111,8 @@
         let part = |name: &str| env.get(name).and_then(Value::as_object).cloned().unwrap_or_default();
         let (domain, rules, limits) = (part("domain"), part("guarantees"), part("limits"));
         let hosts = or(env, "balancers", 1.0)? as u32;
-        let mut s = Scheduler::new(now, seed, hosts, span(env, "granularity")?);
+        let mut s =
+            Scheduler::new(now, seed, hosts, span(env, "granularity")?, or(&domain, "unit_mean", 1.0)?);
         for class in env.get("request_classes").and_then(Value::as_array).into_iter().flatten() {
             let class = class.as_object().ok_or("request_classes: expected objects")?;
             let effect = match text(class.get("effect"), "effect")? {
@@ -141,7 +142,6 @@
                 or(plan, "proportion", 1.0)?,
             );
         }
-        s.sizes(or(&domain, "unit_mean", 1.0)?);
         let asks_clients = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
         let longest = if asks_clients { span(&limits, "max_retry_after")? } else { Span::ZERO };
         s.leg_limits(
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -89,13 +89,13 @@
 /// Settings, part by part.
 impl Scheduler {
     /// `hosts` is how many hosts share the pool; `tick` how coarse the host's clock is.
-    pub fn new(now: Instant, seed: u64, hosts: u32, tick: Span) -> Self {
+    pub fn new(now: Instant, seed: u64, hosts: u32, tick: Span, mean_units: f64) -> Self {
         Scheduler {
             now,
             rng: Chance(oorandom::Rand32::new(seed)),
             hosts: f64::from(hosts.max(1)),
             margin: tick + tick + Span::from_secs(0.001),
-            mean_units: 1.0,
+            mean_units: mean_units.max(1e-6),
             most_legs: u32::MAX,
             ..Scheduler::default()
         }
@@ -118,10 +118,6 @@
         }
     }
 
-    pub fn sizes(&mut self, mean_units: f64) {
-        self.mean_units = mean_units.max(1e-6);
-    }
-
     /// `longest_wait` is the longest that a client can be asked to stay away; zero: it can't be asked.
     /// `settle` is how long a key rests after a leg that may still be running.
     pub fn leg_limits(&mut self, most_legs: u32, longest_wait: Span, settle: Span) {
@@ -219,12 +215,11 @@
         if let Some(t) = key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
             t.leg_back(o.may_be_running().then_some(now + self.settle));
         }
-        let tightest = self.tightest.secs();
         let mut lost = false;
         if let Some(n) = self.nodes.get_mut(&node) {
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
-            n.answered(now, o, took.secs(), st.slo.secs(), tightest, held);
+            n.answered(now, o, took.secs(), st.slo.secs(), self.tightest.secs(), held);
             if o == Outcome::Done {
                 n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
@@ -474,8 +469,7 @@
             let late = &mut self.shards.get_mut(&shard)?.late;
             let cap = nd.map_or(0.0, |n| n.cap);
             if limited || (late.len() as f64) >= cap {
-                let wait = usual + usual;
-                self.answer(id, Some(wait));
+                self.answer(id, Some(usual + usual));
             } else {
                 late.push_back(id);
             }
@@ -492,6 +486,12 @@
                 sh.late.pop_front();
                 continue;
             }
+            // Past its SLO time while others wait: its work would be in the way of what can still earn.
+            if self.now >= self.xfers[&id].slo_at && sh.late.len() > 1 {
+                sh.late.pop_front();
+                self.answer(id, Some(self.longest_wait));
+                continue;
+            }
             let idle = sh.queues.is_empty() && self.nodes[&n].has_room(self.rank(id), false, self.mean_units);
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -20,14 +20,13 @@
     /// 4 and weight 1, plan 2 nothing and weight 3,
     /// plan 3 nothing and weight 1.
     pub fn new(hosts: u32, effect: Effect, in_order: bool) -> Self {
-        let mut s = Scheduler::new(Instant::from_secs(100.0), 7, hosts, secs(0.002));
+        let mut s = Scheduler::new(Instant::from_secs(100.0), 7, hosts, secs(0.002), 2.0);
         s.stream(secs(0.5), effect, in_order);
         s.stream(secs(2.0), effect, in_order);
         s.plan(10.0, 40.0, 4.0, 0.0, 1.0);
         s.plan(0.0, 0.0, 0.0, 4.0, 1.0);
         s.plan(0.0, 0.0, 0.0, 0.0, 3.0);
         s.plan(0.0, 0.0, 0.0, 0.0, 1.0);
-        s.sizes(2.0);
         s.leg_limits(4, secs(1.0), secs(0.3));
         Desk { s, now: 100.0, left: 3.0, next: 0 }
     }
