A transfer keeps the key whose turn it waits for, instead of working it out in five places

Behaviour unchanged: the key is set once, at arrival, where the stream type keeps order. Split's latest share is private again, since nothing outside reads it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -168,16 +168,17 @@
         let ask = (volume, stream, key, shard, units.to_bits());
         let slo_at = self.undone.again(now, ask, left).unwrap_or(now + st.slo);
         let expiry = now + left - self.margin;
-        let x = Xfer::new(now, (volume, plan, stream), key, shard, units, slo_at, expiry);
+        let mut x = Xfer::new(now, (volume, plan, stream), key, shard, units, slo_at, expiry);
+        x.turn = key.filter(|_| st.in_order);
+        if let Some(k) = x.turn {
+            self.turns.entry(k).or_default().line.push_back(id);
+        }
         self.alarms.push(Reverse((x.expiry, Alarm::Expiry(id))));
         self.xfers.insert(id, x);
         if let Some(window) = self.budget.window {
             self.budget.prune(now, window + window);
             self.budget.taken.push_back(now);
         }
-        if let Some(k) = key.filter(|_| st.in_order) {
-            self.turns.entry(k).or_default().line.push_back(id);
-        }
         self.enqueue(id, false);
     }
 
@@ -210,9 +211,9 @@
         if x.ran.is_some_and(|r| r.0 == no) && !o.may_have_run() {
             x.ran = None;
         }
-        let (units, stream, key) = (x.units, x.stream, x.key);
+        let (units, stream, turn) = (x.units, x.stream, x.turn);
         let st = &self.streams[stream.0 as usize];
-        if let Some(t) = key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
+        if let Some(t) = turn.and_then(|k| self.turns.get_mut(&k)) {
             t.leg_back(o.may_be_running().then_some(now + self.settle));
         }
         let mut lost = false;
@@ -549,7 +550,7 @@
 
     /// Rule 5: until when, at least, another transfer or an unknown outcome keeps the key from this one.
     fn turn_wait(&self, id: XferId, x: &Xfer) -> Option<Instant> {
-        let t = self.turns.get(&x.key.filter(|_| self.streams[x.stream.0 as usize].in_order)?)?;
+        let t = self.turns.get(&x.turn?)?;
         let free = t.holder == Some(id) || (t.out == 0 && t.free_at <= self.now);
         (t.line.front() != Some(&id) || !free).then_some(t.free_at)
     }
@@ -605,7 +606,7 @@
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
         x.send(now, node, n.done + n.out as u64, held);
         n.leg_out(now, st.rank, x.units);
-        if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
+        if let Some(t) = x.turn.and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
             t.out += 1;
         }
@@ -675,8 +676,7 @@
         let Some(x) = self.xfers.get_mut(&id) else { return };
         x.ended = true;
         x.waiting = false;
-        let st = &self.streams[x.stream.0 as usize];
-        if let Some(t) = x.key.filter(|_| st.in_order).and_then(|k| self.turns.get_mut(&k)) {
+        if let Some(t) = x.turn.and_then(|k| self.turns.get_mut(&k)) {
             let next = t.leave(id);
             self.due.extend(next.and_then(|q| self.xfers.get(&q)).and_then(|x| x.shard));
         }
@@ -684,10 +684,10 @@
 
     fn forget(&mut self, id: XferId) {
         let over = self.xfers.get(&id).filter(|x| x.ended && x.out.is_empty());
-        let Some(key) = over.map(|x| x.key) else { return };
+        let Some(turn) = over.map(|x| x.turn) else { return };
         self.xfers.remove(&id);
         let now = self.now;
-        if let Some(k) = key.filter(|k| self.turns.get(k).is_some_and(|t| t.is_idle(now))) {
+        if let Some(k) = turn.filter(|k| self.turns.get(k).is_some_and(|t| t.is_idle(now))) {
             self.turns.remove(&k);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,7 +95,7 @@
     answered: Instant,
     period: Instant,
     least: [f64; 2], // in this period and the one before
-    pub last: f64,
+    last: f64,
 }
 
 impl Split {
@@ -161,6 +161,7 @@
     pub plan: PlanId,
     pub stream: StreamId,
     pub key: Option<KeyId>,
+    pub turn: Option<KeyId>, // its key, where its stream type keeps order
     pub shard: Option<ShardId>,
     pub any_node: bool,
     pub units: f64,
@@ -200,6 +201,7 @@
             plan,
             stream,
             key,
+            turn: None,
             shard,
             any_node: shard.is_none(),
             units,
