--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,9 +14,10 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 const CAP_START: f64 = 8.0; // transfers out at one node, and mean sizes out
-const CAP_LEAST: f64 = 1.0;
+const CAP_LEAST: f64 = 0.1; // below one: a rest between transfers, so that many hosts can share a node
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
+const REST_MOST: f64 = 2.0; // seconds
 const CAP_CUT: f64 = 0.5; // at most to this part at once, the more the slower the answer
 const CAP_CUT_LEAST: f64 = 0.9;
 const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
@@ -311,6 +312,7 @@
     /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
     /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
     fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, tightest: f64, held: bool) {
+        self.took = took;
         match o {
             Outcome::Done => {
                 self.good += 1.0;
@@ -320,7 +322,7 @@
                 }
                 if took < CAP_TARGET * slo {
                     if held {
-                        self.cap = (self.cap + CAP_RISE / self.cap).min(CAP_MOST);
+                        self.cap = (self.cap + CAP_RISE * self.cap.min(1.0 / self.cap)).min(CAP_MOST);
                     }
                 } else {
                     self.cut(now, took, CAP_TARGET * slo / took);
@@ -341,14 +343,19 @@
         }
     }
 
-    fn has_room(&self, rank: usize, conforming: bool, mean_units: f64) -> bool {
-        let cap = if conforming { self.cap } else { (self.cap * EXCESS_PART).max(CAP_LEAST) };
-        let cap = if self.sick { CAP_LEAST } else { cap };
+    /// When a place is free for this: nothing if only an answer can free one. Hosts that don't know of each
+    /// other may each keep one out and still fill a node: a cap below one rests after each transfer.
+    fn room_at(&self, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
+        let cap = if conforming { self.cap } else { self.cap * EXCESS_PART };
+        let cap = if self.sick { cap.min(1.0) } else { cap };
         let above: usize = self.out_rank[..rank].iter().sum();
         let at_or_below = self.out - above;
-        (self.out as f64) < cap.floor()
-            && self.out_units < cap * mean_units
-            && (above == 0 || (at_or_below as f64) < (cap * LOWER_PART).max(CAP_LEAST))
+        let free = self.out == 0
+            || (self.out as f64) < cap.floor()
+                && self.out_units < cap * mean_units
+                && (above == 0 || (at_or_below as f64) < (cap * LOWER_PART).max(1.0));
+        let rest = if cap < 1.0 { (self.took / cap).min(REST_MOST) } else { 0.0 };
+        free.then_some(self.sent_at + Span::from_secs(rest))
     }
 
     fn usual(&self, stream: StreamId) -> Span {
@@ -413,8 +420,13 @@
             });
             // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
             let rank = if conforming && x.slo_at - now <= self.tightest { 0 } else { self.rank(head) };
-            if !nd.has_room(rank, conforming, self.mean_units) {
-                continue;
+            match nd.room_at(rank, conforming, self.mean_units) {
+                Some(t) if t <= now => {}
+                Some(t) => {
+                    look = Some(look.map_or(t, |l| l.min(t)));
+                    continue;
+                }
+                None => continue,
             }
             let score = (rank, !conforming, self.shards[&shard].start(x.volume));
             if best.is_none_or(|b| score < b.0) {
@@ -493,7 +505,9 @@
                 self.answer(id, Some(self.longest_wait));
                 continue;
             }
-            let idle = sh.queues.is_empty() && self.nodes[&n].has_room(self.rank(id), false, self.mean_units);
+            let none_in_time = sh.queues.is_empty();
+            let room = self.nodes[&n].room_at(self.rank(id), false, self.mean_units);
+            let idle = none_in_time && room.is_some_and(|t| t <= self.now);
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -238,6 +238,7 @@
     pub out_rank: Vec<usize>,
     pub cap: f64,
     pub cut_at: Instant,
+    pub took: f64, // seconds, the last answer
     pub credit: f64,
     pub good: f64,
     pub bad: f64,
@@ -354,6 +355,7 @@
             out_rank: vec![0; ranks],
             cap,
             cut_at: now,
+            took: 0.0,
             credit,
             good: 0.0,
             bad: 0.0,
