Caps start and end lower the more hosts share the pool

Cause: a start of 8 for each of a hundred hosts fills every node before the first slow answer is back.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,7 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 const CAP_START: f64 = 8.0; // transfers out at one node, and mean sizes out
-const CAP_LEAST: f64 = 0.1; // below one: a rest between transfers, so that many hosts can share a node
+const CAP_LEAST: f64 = 1.0; // at few hosts; below one, a host rests between transfers
+const FEW: f64 = 4.0; // hosts: up to these each may keep a node busy, beyond them they share that
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
 const REST_MOST: f64 = 2.0; // seconds
@@ -289,13 +290,15 @@
         }
         let ranks = self.streams.iter().map(|s| s.rank + 1).max().unwrap_or(1);
         let fresh = vec![Histogram::new(LATENCY_FIRST, LATENCY_HALVE); self.streams.len()];
+        let few = (FEW / self.hosts).min(1.0);
+        let caps = (CAP_START * few.sqrt(), CAP_LEAST * few);
         for e in entries {
-            let new = || Node::new(now, e, ranks, fresh.clone(), CAP_START, CREDIT_START);
+            let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START);
             let n = self.nodes.entry(e.node).or_insert_with(new);
             n.state = e.state;
             if e.up_since > n.up_since {
                 // What was learned of its earlier life no longer holds; what is out still is.
-                n.restart(now, e, fresh.clone(), CAP_START, CREDIT_START);
+                n.restart(now, e, fresh.clone(), caps, CREDIT_START);
                 let age = e.up_since.map_or(0.0, |u| (now - u).secs());
                 self.decided.push_back(Decision::Log(format!("node {} cold: up for {age:.1}s", e.node.0)));
             }
@@ -338,7 +341,7 @@
     /// At most one cut for what was out at once.
     fn cut(&mut self, now: Instant, took: f64, to: f64) {
         if (now - self.cut_at).secs() > took {
-            self.cap = (self.cap * to.clamp(CAP_CUT, CAP_CUT_LEAST)).max(CAP_LEAST);
+            self.cap = (self.cap * to.clamp(CAP_CUT, CAP_CUT_LEAST)).max(self.least);
             self.cut_at = now;
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -237,6 +237,7 @@
     pub out_units: f64,
     pub out_rank: Vec<usize>,
     pub cap: f64,
+    pub least: f64, // of the cap
     pub cut_at: Instant,
     pub took: f64, // seconds, the last answer
     pub credit: f64,
@@ -330,10 +331,10 @@
     }
 
     /// Forgets an earlier life, but for what is still out.
-    pub fn restart(&mut self, now: Instant, e: &NodeEntry, seen: Vec<Histogram>, cap: f64, credit: f64) {
+    pub fn restart(&mut self, now: Instant, e: &NodeEntry, seen: Vec<Histogram>, caps: (f64, f64), credit: f64) {
         let (out, done, out_units) = (self.out, self.done, self.out_units);
         let out_rank = std::mem::take(&mut self.out_rank);
-        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, cap, credit) };
+        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, caps, credit) };
     }
 
     pub fn new(
@@ -341,7 +342,7 @@
         e: &NodeEntry,
         ranks: usize,
         seen: Vec<Histogram>,
-        cap: f64,
+        (cap, least): (f64, f64),
         credit: f64,
     ) -> Self {
         Node {
@@ -354,6 +355,7 @@
             out_units: 0.0,
             out_rank: vec![0; ranks],
             cap,
+            least,
             cut_at: now,
             took: 0.0,
             credit,
