A leg out for long counts like an answer that slow

Cause: silence kept a cap up until the first answer or time-out. Should also catch pauses, vanished nodes and slow deaths; may hurt where one costly transfer is out beside cheap ones, so the cap shrinks in proportion.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -209,7 +209,7 @@
         self.now = now;
         let Some(x) = self.xfers.get_mut(&id) else { return };
         let Some(i) = x.out.iter().position(|l| l.no == leg.0) else { return };
-        let Leg { no, node, passed, held } = x.out.remove(i);
+        let Leg { no, node, at, passed, held } = x.out.remove(i);
         if x.ran.is_some_and(|r| r.0 == no) && !o.may_have_run() {
             x.ran = None;
         }
@@ -220,7 +220,7 @@
         }
         let mut lost = false;
         if let Some(n) = self.nodes.get_mut(&node) {
-            n.leg_back(st.rank, units);
+            n.leg_back(st.rank, units, at);
             self.due.insert(n.shard);
             n.answered(now, o, took.secs(), st.slo.secs(), self.tightest.secs(), held);
             if o == Outcome::Done {
@@ -348,8 +348,10 @@
 
     /// When a place is free for this: nothing if only an answer can free one. Hosts that don't know of each
     /// other may each keep one out and still fill a node: a cap below one rests after each transfer.
-    fn room_at(&self, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
-        let cap = if conforming { self.cap } else { self.cap * EXCESS_PART };
+    fn room_at(&self, now: Instant, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
+        // The longest out tells like an answer that has taken as long already: silence must not keep a cap up.
+        let slow = self.out_since.first().map_or(0.0, |(t, slo)| (now - *t).secs() / (CAP_TARGET * slo));
+        let cap = self.cap * if conforming { 1.0 } else { EXCESS_PART } / slow.max(1.0);
         let cap = if self.sick { cap.min(1.0) } else { cap };
         let above: usize = self.out_rank[..rank].iter().sum();
         let at_or_below = self.out - above;
@@ -423,7 +425,7 @@
             });
             // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
             let rank = if conforming && x.slo_at - now <= self.tightest { 0 } else { self.rank(head) };
-            match nd.room_at(rank, conforming, self.mean_units) {
+            match nd.room_at(now, rank, conforming, self.mean_units) {
                 Some(t) if t <= now => {}
                 Some(t) => {
                     look = Some(look.map_or(t, |l| l.min(t)));
@@ -509,7 +511,7 @@
                 continue;
             }
             let none_in_time = sh.queues.is_empty();
-            let room = self.nodes[&n].room_at(self.rank(id), false, self.mean_units);
+            let room = self.nodes[&n].room_at(self.now, self.rank(id), false, self.mean_units);
             let idle = none_in_time && room.is_some_and(|t| t <= self.now);
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
@@ -622,7 +624,7 @@
         }
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
         x.send(now, node, n.done + n.out as u64, held);
-        n.leg_out(now, st.rank, x.units);
+        n.leg_out(now, st.rank, x.units, st.slo.secs());
         if let Some(t) = x.turn.and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
             t.out += 1;
