New objects start their rotation by chance; an unheard node counts like the mean

Cause: with 200 hosts all began at the same node and its queue overflowed; a node not yet heard from weighed 20 times one that was.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,7 +55,6 @@
 const SAFE_EDGE: f64 = 0.02; // seconds kept from the edge of any stated window
 const LATENCY_FIRST: f64 = 0.002; // seconds, the lowest bin of answer times
 const LATENCY_HALVE: f64 = 64.0;
-const USUAL_LEAST: f64 = 0.01; // seconds, the usual time of a node not yet heard from
 const QUEUE_LOOK: usize = 16; // waiting transfers searched for one that no guard of its own holds
 
 #[derive(Default)]
@@ -294,7 +293,9 @@
         let caps = (CAP_START * few.sqrt(), CAP_LEAST * few);
         for e in entries {
             let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START);
-            let n = self.nodes.entry(e.node).or_insert_with(new);
+            // Hosts start the rotation of new objects each elsewhere, else all begin at the same node.
+            let chance = f64::from(self.rng.0.rand_float());
+            let n = self.nodes.entry(e.node).or_insert_with(|| Node { turn: chance, ..new() });
             n.state = e.state;
             if e.up_since > n.up_since {
                 // What was learned of its earlier life no longer holds; what is out still is.
@@ -726,13 +727,19 @@
         self.due.insert(shard);
     }
 
-    /// New objects: nodes take turns, weighted by what each was seen to manage (cap over usual time).
+    /// New objects: nodes take turns, weighted by what each was seen to manage (cap over usual time); one not
+    /// yet heard from counts like the mean of the others.
     fn rotate(&mut self) -> Option<ShardId> {
+        let usual = |n: &Node| {
+            let seen: Vec<f64> = n.latency.iter().filter_map(|h| h.at(0.5)).collect();
+            (!seen.is_empty()).then(|| seen.iter().sum::<f64>() / seen.len() as f64)
+        };
+        let seen: Vec<f64> = self.nodes.values().filter_map(usual).collect();
+        let mean = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
         let able = self.nodes.values_mut().filter(|n| n.state == NodeState::Ready && !n.sick);
         take_turn(able.map(|n| {
             let fresh = n.up_since.is_some_and(|u| self.now - u < self.cold.warm);
-            let usual: f64 = n.latency.iter().filter_map(|h| h.at(0.5)).sum::<f64>().max(USUAL_LEAST);
-            let weight = if fresh { self.cold.from } else { 1.0 } * n.cap / usual;
+            let weight = if fresh { self.cold.from } else { 1.0 } * n.cap / usual(n).unwrap_or(mean).max(1e-3);
             (n, weight)
         }))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -421,18 +421,13 @@
     }
 }
 
-/// Smooth weighted rotation: each gains its weight; the one that has most takes the turn and pays for all.
+/// Smooth weighted rotation: each gains its part of the weights; the one that has most takes the turn.
 pub fn take_turn<'a>(nodes: impl Iterator<Item = (&'a mut Node, f64)>) -> Option<ShardId> {
-    let (mut total, mut best) = (0.0, None::<&mut Node>);
-    for (n, weight) in nodes {
-        n.turn += weight;
-        total += weight;
-        if best.as_ref().is_none_or(|b| n.turn > b.turn) {
-            best = Some(n);
-        }
-    }
-    let n = best?;
-    n.turn -= total;
+    let mut nodes: Vec<_> = nodes.collect();
+    let total: f64 = nodes.iter().map(|(_, weight)| weight).sum();
+    nodes.iter_mut().for_each(|(n, weight)| n.turn += *weight / total);
+    let (n, _) = nodes.into_iter().max_by(|a, b| a.0.turn.total_cmp(&b.0.turn))?;
+    n.turn -= 1.0;
     Some(n.shard)
 }
 
