--- a/src/policy.rs
+++ b/src/policy.rs
@@ -208,26 +208,26 @@
         self.now = now;
         let Some(x) = self.xfers.get_mut(&id) else { return };
         let Some(i) = x.out.iter().position(|l| l.no == leg.0) else { return };
-        let Leg { no, node, at, passed, held } = x.out.remove(i);
+        let Leg { no, node, passed, held } = x.out.remove(i);
         if x.ran.is_some_and(|r| r.0 == no) && !o.may_have_run() {
             x.ran = None;
         }
-        let (units, stream, turn) = (x.units, x.stream, x.turn);
+        let (units, stream, turn, hurried) = (x.units, x.stream, x.turn, x.ended);
         let st = &self.streams[stream.0 as usize];
         if let Some(t) = turn.and_then(|k| self.turns.get_mut(&k)) {
             t.leg_back(o.may_be_running().then_some(now + self.settle));
         }
         let mut lost = false;
         if let Some(n) = self.nodes.get_mut(&node) {
-            n.leg_back(st.rank, units, at);
+            n.leg_back(st.rank, units);
             self.due.insert(n.shard);
-            n.answered(now, o, took.secs(), st.slo.secs(), self.tightest.secs(), held);
+            lost = o == Outcome::TimedOut && n.done > passed + OVERTAKEN;
+            n.answered(now, o, took.secs(), st.slo.secs(), self.tightest.secs(), held, hurried);
             if o == Outcome::Done {
                 n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
                 n.cold.level = (n.cold.level - units).max(0.0);
             }
-            lost = o == Outcome::TimedOut && n.done > passed + OVERTAKEN;
             let sick = n.bad >= SICK_AFTER && n.good < SICK_BELOW * (n.good + n.bad);
             if sick != std::mem::replace(&mut n.sick, sick) {
                 let mode = if sick { "sick" } else { "well" };
@@ -315,7 +315,16 @@
 impl Node {
     /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
     /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
-    fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, tightest: f64, held: bool) {
+    fn answered(
+        &mut self,
+        now: Instant,
+        o: Outcome,
+        took: f64,
+        slo: f64,
+        tightest: f64,
+        held: bool,
+        hurried: bool,
+    ) {
         self.took = took;
         match o {
             Outcome::Done => {
@@ -332,7 +341,15 @@
                     self.cut(now, took, CAP_TARGET * slo / took);
                 }
             }
-            Outcome::Error | Outcome::TimedOut | Outcome::Refused | Outcome::Reset => self.bad += 1.0,
+            Outcome::TimedOut => {
+                self.bad += 1.0;
+                // Its client's time was up before the SLO time: for such clients the node is too slow. Against
+                // hurried clients that ask again and again. A leg out for longer may have got lost instead.
+                if hurried && took < slo {
+                    self.cut(now, took, CAP_CUT);
+                }
+            }
+            Outcome::Error | Outcome::Refused | Outcome::Reset => self.bad += 1.0,
             Outcome::Full => self.cut(now, took, CAP_CUT),
             Outcome::Cancelled | Outcome::Skipped => {}
         }
@@ -349,10 +366,8 @@
 
     /// When a place is free for this: nothing if only an answer can free one. Hosts that don't know of each
     /// other may each keep one out and still fill a node: a cap below one rests after each transfer.
-    fn room_at(&self, now: Instant, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
-        // The longest out tells like an answer that has taken as long already: silence must not keep a cap up.
-        let slow = self.out_since.first().map_or(0.0, |(t, slo)| (now - *t).secs() / (CAP_TARGET * slo));
-        let cap = self.cap * if conforming { 1.0 } else { EXCESS_PART } / slow.max(1.0);
+    fn room_at(&self, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
+        let cap = self.cap * if conforming { 1.0 } else { EXCESS_PART };
         let cap = if self.sick { cap.min(1.0) } else { cap };
         let above: usize = self.out_rank[..rank].iter().sum();
         let at_or_below = self.out - above;
@@ -426,7 +441,7 @@
             });
             // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
             let rank = if conforming && x.slo_at - now <= self.tightest { 0 } else { self.rank(head) };
-            match nd.room_at(now, rank, conforming, self.mean_units) {
+            match nd.room_at(rank, conforming, self.mean_units) {
                 Some(t) if t <= now => {}
                 Some(t) => {
                     look = Some(look.map_or(t, |l| l.min(t)));
@@ -473,7 +488,7 @@
             }
             let nd = node.and_then(|n| self.nodes.get(&n));
             let usual = nd.map_or(Span::ZERO, |n| n.usual(name.1));
-            if self.now + usual < x.slo_at {
+            if self.now + usual < x.slo_at.min(x.expiry) {
                 // What a guard of its own holds (a pause, its key's turn) must not hold those behind it.
                 let queue = self.shards.get(&shard)?.queues.get(&name)?;
                 let open = |q: &&XferId| {
@@ -512,7 +527,7 @@
                 continue;
             }
             let none_in_time = sh.queues.is_empty();
-            let room = self.nodes[&n].room_at(self.now, self.rank(id), false, self.mean_units);
+            let room = self.nodes[&n].room_at(self.rank(id), false, self.mean_units);
             let idle = none_in_time && room.is_some_and(|t| t <= self.now);
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
@@ -625,7 +640,7 @@
         }
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
         x.send(now, node, n.done + n.out as u64, held);
-        n.leg_out(now, st.rank, x.units, st.slo.secs());
+        n.leg_out(now, st.rank, x.units);
         if let Some(t) = x.turn.and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
             t.out += 1;
@@ -739,7 +754,8 @@
         let able = self.nodes.values_mut().filter(|n| n.state == NodeState::Ready && !n.sick);
         take_turn(able.map(|n| {
             let fresh = n.up_since.is_some_and(|u| self.now - u < self.cold.warm);
-            let weight = if fresh { self.cold.from } else { 1.0 } * n.cap / usual(n).unwrap_or(mean).max(1e-3);
+            let weight =
+                if fresh { self.cold.from } else { 1.0 } * n.cap / usual(n).unwrap_or(mean).max(1e-3);
             (n, weight)
         }))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -183,7 +183,7 @@
         self.ran = self.ran.or(Some((self.legs, now, node)));
         self.drew = true;
         self.waiting = false;
-        self.out.push(Leg { no: self.legs, node, at: now, passed, held });
+        self.out.push(Leg { no: self.legs, node, passed, held });
         self.legs += 1;
     }
 
@@ -223,7 +223,6 @@
 pub struct Leg {
     pub no: u32,
     pub node: NodeId,
-    pub at: Instant,
     pub passed: u64, // once the node has answered more than this, later legs have overtaken it
     pub held: bool,  // went out while the caps were what held transfers back
 }
@@ -236,7 +235,6 @@
     pub out: usize,
     pub done: u64,
     pub out_units: f64,
-    pub out_since: Vec<(Instant, f64)>, // in order of sending; with each one's SLO time in seconds
     pub out_rank: Vec<usize>,
     pub cap: f64,
     pub least: f64, // of the cap
@@ -311,8 +309,7 @@
 }
 
 impl Node {
-    pub fn leg_out(&mut self, now: Instant, rank: usize, units: f64, slo: f64) {
-        self.out_since.push((now, slo));
+    pub fn leg_out(&mut self, now: Instant, rank: usize, units: f64) {
         self.out += 1;
         self.out_units += units;
         self.out_rank[rank] += 1;
@@ -320,10 +317,7 @@
         self.sent_at = now;
     }
 
-    pub fn leg_back(&mut self, rank: usize, units: f64, at: Instant) {
-        if let Some(i) = self.out_since.iter().position(|o| o.0 == at) {
-            self.out_since.remove(i);
-        }
+    pub fn leg_back(&mut self, rank: usize, units: f64) {
         self.out -= 1;
         self.out_units -= units;
         self.out_rank[rank] -= 1;
@@ -337,11 +331,17 @@
     }
 
     /// Forgets an earlier life, but for what is still out.
-    pub fn restart(&mut self, now: Instant, e: &NodeEntry, seen: Vec<Histogram>, caps: (f64, f64), credit: f64) {
+    pub fn restart(
+        &mut self,
+        now: Instant,
+        e: &NodeEntry,
+        seen: Vec<Histogram>,
+        caps: (f64, f64),
+        credit: f64,
+    ) {
         let (out, done, out_units) = (self.out, self.done, self.out_units);
         let out_rank = std::mem::take(&mut self.out_rank);
-        let out_since = std::mem::take(&mut self.out_since);
-        *self = Node { out, done, out_units, out_rank, out_since, ..Node::new(now, e, 0, seen, caps, credit) };
+        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, caps, credit) };
     }
 
     pub fn new(
@@ -360,7 +360,6 @@
             out: 0,
             done: 0,
             out_units: 0.0,
-            out_since: Vec::new(),
             out_rank: vec![0; ranks],
             cap,
             least,
