A cold node gets the part of each host's own past pace that it bears

What hosts saw a shard do sums to no more than it can do, so the same part at each host needs no agreement; first turns are spread by chance.

--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -161,6 +161,7 @@
             or(&rules, "cold_from", 1.0)?,
             span(&rules, "cold")?,
             span(&rules, "fall")?,
+            or(&rules, "fall_multiple", 1.0)?,
         );
         if env.get("registry_mode").and_then(Value::as_str) == Some("ask") {
             s.list_must_be_asked();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,9 @@
 const PAUSE: f64 = 0.02; // seconds before a further leg
 const BLOCKED_CHECK: f64 = 0.05; // seconds until a transfer that a guard holds is looked at again
 const COLD_DRAIN: f64 = 0.25; // of the always-safe units, each window, freed by time alone
+const COLD_PART: f64 = 0.8; // of the multiple that a cold node bears
+const COLD_MEMORY: f64 = 30.0; // seconds
+const COLD_SEEN_LEAST: f64 = 5.0; // seconds, before what was seen of a shard counts in full
 const LIST_RETRY: f64 = 0.3; // seconds, doubled at each failure
 const LIST_RETRY_MOST: f64 = 4.0;
 const SAFE_EDGE: f64 = 0.02; // seconds kept from the edge of any stated window
@@ -130,9 +133,9 @@
     }
 
     /// `safe` units within `window` from all hosts never hurt a node that starts at part `from` of its
-    /// capacity and is warm after `warm`.
-    pub fn cold_nodes(&mut self, safe: f64, from: f64, warm: Span, window: Span) {
-        self.cold = Cold { safe, from: from.clamp(0.01, 1.0), warm, window };
+    /// capacity and is warm after `warm`; nor does `multiple` times what it can do at the moment.
+    pub fn cold_nodes(&mut self, safe: f64, from: f64, warm: Span, window: Span, multiple: f64) {
+        self.cold = Cold { safe, from: from.clamp(0.01, 1.0), warm, window, multiple };
     }
 
     pub fn list_must_be_asked(&mut self) {
@@ -227,6 +230,8 @@
                 n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
                 n.cold.level = (n.cold.level - units).max(0.0);
+                let shard = self.shards.entry(n.shard).or_default();
+                shard.pace.add(now, units, COLD_MEMORY);
             }
             let sick = n.bad >= SICK_AFTER && n.good < SICK_BELOW * (n.good + n.bad);
             if sick != std::mem::replace(&mut n.sick, sick) {
@@ -295,11 +300,16 @@
             let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START);
             // Hosts start the rotation of new objects each elsewhere, else all begin at the same node.
             let chance = f64::from(self.rng.0.rand_float());
-            let n = self.nodes.entry(e.node).or_insert_with(|| Node { turn: chance, ..new() });
+            let first_turn = chance * (self.mean_units - self.cold.safe / self.hosts).max(0.0);
+            let n = self.nodes.entry(e.node).or_insert_with(|| {
+                let cold = Bucket { level: first_turn, at: now };
+                Node { turn: chance, cold, ..new() }
+            });
             n.state = e.state;
             if e.up_since > n.up_since {
                 // What was learned of its earlier life no longer holds; what is out still is.
                 n.restart(now, e, fresh.clone(), caps, CREDIT_START);
+                n.cold.level = first_turn;
                 let age = e.up_since.map_or(0.0, |u| (now - u).secs());
                 self.decided.push_back(Decision::Log(format!("node {} cold: up for {age:.1}s", e.node.0)));
             }
@@ -597,8 +607,11 @@
         further + 1.0 <= self.budget.free + self.budget.share * taken
     }
 
-    /// Rule 4. Units sent and not answered stay under this host's part of the always-safe figure, which grows
-    /// no faster than the slowest warming; an answer frees its units, since that work has been done.
+    /// Rule 4. Units sent and not answered stay under this host's part of the always-safe figure; an answer
+    /// frees its units, since that work has been done, and time frees them at a rate that starts low and
+    /// rises no faster than the slowest warming. With many hosts that part is under one transfer. What hosts
+    /// saw a shard do for them sums to no more than its node can do, so the same part of it at each host, as
+    /// much as the cold node can bear, needs no agreement. The first turn comes by chance (see `nodes_changed`).
     fn cold_room(&mut self, node: NodeId, units: f64) -> Result<(), Instant> {
         let (c, now) = (&self.cold, self.now);
         let Some(n) = self.nodes.get_mut(&node) else { return Ok(()) };
@@ -608,12 +621,12 @@
         }
         let warmth = c.from + (1.0 - c.from) * (age.secs() / c.warm.secs()).max(0.0);
         let part = c.safe / self.hosts * warmth / c.from;
-        let rate = COLD_DRAIN * part / c.window.secs().max(1e-3);
-        n.cold.drain(now, rate);
-        if n.cold.level + units <= part {
-            return Ok(());
+        let seen = self.shards.get(&n.shard).map_or(0.0, |s| s.pace.rate(now, COLD_MEMORY, COLD_SEEN_LEAST));
+        let rate = COLD_DRAIN * part / c.window.secs().max(1e-3) + COLD_PART * c.multiple * warmth * seen;
+        match n.cold.wait(now, rate, part, units) {
+            Span::ZERO => Ok(()),
+            wait => Err(now + wait.min(Span::from_secs(BLOCKED_CHECK))),
         }
-        Err(now + Span::from_secs(BLOCKED_CHECK))
     }
 
     fn send(&mut self, shard: ShardId, id: XferId, node: NodeId, conforming: bool) -> Decision {
--- a/src/state.rs
+++ b/src/state.rs
@@ -257,6 +257,7 @@
     pub nodes: BTreeSet<NodeId>,
     pub tags: BTreeMap<VolumeId, f64>,
     pub vtime: f64,
+    pub pace: Pace, // of what was done here for this host
 }
 
 /// Weighted sharing by start tags: virtual time stands at the last start, so nothing is saved while idle.
@@ -402,6 +403,32 @@
     pub from: f64,
     pub warm: Span,
     pub window: Span,
+    pub multiple: f64,
+}
+
+/// Units a second, the older counting less.
+#[derive(Default)]
+pub struct Pace {
+    units: f64,
+    secs: f64,
+    at: Option<Instant>,
+}
+
+impl Pace {
+    pub fn add(&mut self, now: Instant, units: f64, memory: f64) {
+        let gone = self.at.map_or(0.0, |t| (now - t).secs());
+        let kept = (-gone / memory).exp();
+        self.units = self.units * kept + units;
+        self.secs = self.secs * kept + gone;
+        self.at = Some(now);
+    }
+
+    /// As if at least `least` seconds had been seen.
+    pub fn rate(&self, now: Instant, memory: f64, least: f64) -> f64 {
+        let gone = self.at.map_or(0.0, |t| (now - t).secs());
+        let kept = (-gone / memory).exp();
+        self.units * kept / (self.secs * kept + gone).max(least)
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -100,7 +100,7 @@
     // Hosts, age of the node when the burst comes, units that may leave at once (30 are always safe).
     for (hosts, age, most) in [(1, 0.0, 30.0f64), (3, 0.0, 10.0), (3, 5.0, 30.0), (3, 10.0, 1e9)] {
         let mut d = Desk::new(hosts, Effect::Repeatable, false);
-        d.s.cold_nodes(30.0, 0.2, secs(10.0), secs(3.0));
+        d.s.cold_nodes(30.0, 0.2, secs(10.0), secs(3.0), 2.0);
         d.list(ListKind::Complete, &[(0, NodeState::Ready, Some(d.now - age))]);
         let mut units = 0.0;
         for i in 0..200 {
