--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -37,7 +37,8 @@
     keys: Names,
     armed: Option<Instant>,
     token: u64,
-    tells: bool, // whether answers tell of service through other hosts
+    waiting_at: Option<usize>, // where a load report holds the number of waiting transfers
+    tells: bool,               // whether answers tell of service through other hosts
 }
 
 /// All instances that this process serves.
@@ -174,6 +175,10 @@
             keys: Names::default(),
             armed: None,
             token: 0,
+            waiting_at: part("report")
+                .get("fields")
+                .and_then(Value::as_array)
+                .and_then(|fields| fields.iter().position(|f| f.as_str() == Some("q"))),
             tells: domain.get("says_others").and_then(Value::as_bool).unwrap_or(false),
         })
     }
@@ -216,6 +221,11 @@
                 let leg = LegNo(index(v.get(2), "try")?);
                 let elapsed = Span::from_secs(number(v.get(5), "elapsed")?);
                 let ended = v.get(6).and_then(Value::as_bool).ok_or("ended: expected true or false")?;
+                let load = v.get(9).and_then(Value::as_array);
+                if let Some(waiting) = self.waiting_at.and_then(|i| load?.get(i)?.as_f64()) {
+                    let node = NodeId(self.nodes.number(text(v.get(3), "brick")?));
+                    self.scheduler.load_reported(now, node, waiting);
+                }
                 if let Some(id) = self.xfers.known(text(v.get(1), "tid")?) {
                     let elsewhere = v.get(8).and_then(Value::as_f64).unwrap_or(0.0);
                     let done = outcome == Outcome::Done;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,6 +24,8 @@
 const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
 const EXCESS_PART: f64 = 0.7; // of the cap, for units past the reservation
 const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
+const WAITING: f64 = 8.0; // transfers a node may report to wait before they divide the cap
+const WAITING_EXCESS: f64 = 2.0; // and before they divide it for units past the reservation
 const TIGHT: f64 = 2.0; // streams within this multiple of the tightest SLO time judge the node
 const SLACK_AT_START: f64 = 0.5; // of the limit's slack, given by all hosts together when they start
 const SPLIT_FLOOR: f64 = 0.9; // of the even slice, whatever the share
@@ -113,13 +115,7 @@
     /// Stream types are numbered in the order given.
     pub fn stream(&mut self, slo: Span, effect: Effect, in_order: bool) {
         self.streams.push(Stream { slo, rank: 0, effect, in_order });
-        let mut slos: Vec<Span> = self.streams.iter().map(|s| s.slo).collect();
-        slos.sort();
-        slos.dedup();
-        self.tightest = slos[0];
-        for s in &mut self.streams {
-            s.rank = slos.iter().position(|x| *x == s.slo).unwrap_or(0);
-        }
+        self.tightest = rank_by_slo(&mut self.streams);
     }
 
     /// `longest_wait` is the longest that a client can be asked to stay away; zero: it can't be asked.
@@ -207,6 +203,12 @@
         v.split.served(now, shard, own, elsewhere, SPLIT_LEAST * self.mean_units);
     }
 
+    /// How many transfers a node says wait there; reports lag.
+    pub fn load_reported(&mut self, now: Instant, node: NodeId, waiting: f64) {
+        self.now = now;
+        self.nodes.entry(node).and_modify(|n| n.waiting = waiting);
+    }
+
     pub fn leg_ended(&mut self, now: Instant, id: XferId, leg: LegNo, o: Outcome, took: Span, ended: bool) {
         self.now = now;
         let Some(x) = self.xfers.get_mut(&id) else { return };
@@ -236,8 +238,8 @@
             let sick = n.bad >= SICK_AFTER && n.good < SICK_BELOW * (n.good + n.bad);
             if sick != std::mem::replace(&mut n.sick, sick) {
                 let mode = if sick { "sick" } else { "well" };
-                let text = format!("node {} {mode}: good {:.1} bad {:.1}", node.0, n.good, n.bad);
-                self.decided.push_back(Decision::Log(text));
+                let line = format!("node {} {mode}: good {:.1} bad {:.1}", node.0, n.good, n.bad);
+                self.log(line);
             }
         }
         self.loss(lost, o == Outcome::Done);
@@ -246,26 +248,25 @@
         } else if self.xfers.get(&id).is_some_and(|x| !x.ended && x.out.is_empty()) {
             self.go_on(id);
         }
-        self.forget(id);
+        forget(&mut self.xfers, &mut self.turns, id, self.now);
     }
 
     /// A leg that times out though its node has long answered later ones got lost; a slow node's did not.
     fn loss(&mut self, lost: bool, done: bool) {
-        self.lost.note(lost, done, LOST_HALVE);
-        let l = &mut self.lost;
-        let losing = l.lost >= LOST_LEAST && l.lost > LOST_PART * (l.lost + l.kept);
-        if losing != std::mem::replace(&mut l.losing, losing) {
-            let mode = if losing { "get lost" } else { "arrive" };
-            let text = format!("legs {mode}: {:.1} lost {:.1} answered", l.lost, l.kept);
-            self.decided.push_back(Decision::Log(text));
+        if let Some(losing) = self.lost.note(lost, done, LOST_HALVE, LOST_LEAST, LOST_PART) {
+            let (l, mode) = (&self.lost, if losing { "get lost" } else { "arrive" });
+            self.log(format!("legs {mode}: {:.1} lost {:.1} answered", l.lost, l.kept));
         }
     }
 
+    fn log(&mut self, line: String) {
+        self.decided.push_back(Decision::Log(line));
+    }
+
     /// The client has left, or the transfer was ended for us.
     pub fn transfer_gone(&mut self, now: Instant, id: XferId) {
         self.now = now;
         self.finish(id);
-        self.forget(id);
     }
 
     pub fn nodes_changed(&mut self, now: Instant, kind: ListKind, entries: &[NodeEntry]) {
@@ -276,12 +277,10 @@
             self.asked = false;
             let wait = Span::from_secs(wait * (0.5 + f64::from(self.rng.0.rand_float())));
             self.alarms.push(Reverse((now + wait, Alarm::List)));
-            let text = format!("list lost: failure {} retry in {:.2}s", self.list_fails, wait.secs());
-            self.decided.push_back(Decision::Log(text));
-            return;
+            return self.log(format!("list lost: failure {} retry in {:.2}s", self.list_fails, wait.secs()));
         }
         if kind != ListKind::Saved && self.list_fails > 0 {
-            self.decided.push_back(Decision::Log(format!("list back: after {} failures", self.list_fails)));
+            self.log(format!("list back: after {} failures", self.list_fails));
             self.list_fails = 0;
         }
         if kind != ListKind::Changes {
@@ -311,7 +310,7 @@
                 n.restart(now, e, fresh.clone(), caps, CREDIT_START);
                 n.cold.level = first_turn;
                 let age = e.up_since.map_or(0.0, |u| (now - u).secs());
-                self.decided.push_back(Decision::Log(format!("node {} cold: up for {age:.1}s", e.node.0)));
+                self.log(format!("node {} cold: up for {age:.1}s", e.node.0));
             }
             self.shards.entry(e.shard).or_default().nodes.insert(e.node);
         }
@@ -325,6 +324,7 @@
 impl Node {
     /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
     /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
+    #[allow(clippy::too_many_arguments)]
     fn answered(
         &mut self,
         now: Instant,
@@ -353,7 +353,7 @@
             }
             Outcome::TimedOut => {
                 self.bad += 1.0;
-                // Its client's time was up before the SLO time: for such clients the node is too slow. Against
+                // Its client's time was up before the SLO time: for such clients it is too slow. Against
                 // hurried clients that ask again and again. A leg out for longer may have got lost instead.
                 if hurried && took < slo {
                     self.cut(now, took, CAP_CUT);
@@ -378,6 +378,8 @@
     /// other may each keep one out and still fill a node: a cap below one rests after each transfer.
     fn room_at(&self, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
         let cap = self.cap * if conforming { 1.0 } else { EXCESS_PART };
+        // What a node reports is common to all hosts; what each has out there is not, once they are many.
+        let cap = cap / (self.waiting / if conforming { WAITING } else { WAITING_EXCESS }).max(1.0);
         let cap = if self.sick { cap.min(1.0) } else { cap };
         let above: usize = self.out_rank[..rank].iter().sum();
         let at_or_below = self.out - above;
@@ -595,9 +597,7 @@
 
     /// Rule 5: until when, at least, another transfer or an unknown outcome keeps the key from this one.
     fn turn_wait(&self, id: XferId, x: &Xfer) -> Option<Instant> {
-        let t = self.turns.get(&x.turn?)?;
-        let free = t.holder == Some(id) || (t.out == 0 && t.free_at <= self.now);
-        (t.line.front() != Some(&id) || !free).then_some(t.free_at)
+        self.turns.get(&x.turn?)?.wait(id, self.now)
     }
 
     /// Rule 6. The window is read narrower for what was taken and wider for what was sent.
@@ -611,7 +611,7 @@
     /// frees its units, since that work has been done, and time frees them at a rate that starts low and
     /// rises no faster than the slowest warming. With many hosts that part is under one transfer. What hosts
     /// saw a shard do for them sums to no more than its node can do, so the same part of it at each host, as
-    /// much as the cold node can bear, needs no agreement. The first turn comes by chance (see `nodes_changed`).
+    /// much as the cold node can bear, needs no agreement. The first turn comes by chance.
     fn cold_room(&mut self, node: NodeId, units: f64) -> Result<(), Instant> {
         let (c, now) = (&self.cold, self.now);
         let Some(n) = self.nodes.get_mut(&node) else { return Ok(()) };
@@ -677,13 +677,8 @@
             Effect::Repeatable => true,
             Effect::Unrepeatable => false,
             Effect::Keyed { group, window } => {
-                let place = |n: NodeId| self.nodes.get(&n).map(|n| (n.zone, n.shard));
-                let same = node.is_none_or(|n| match group {
-                    Group::All => true,
-                    Group::Zone => place(n).map(|p| p.0) == place(first).map(|p| p.0),
-                    Group::Shard => place(n).map(|p| p.1) == place(first).map(|p| p.1),
-                });
-                same && self.now - sent + Span::from_secs(SAFE_EDGE) < window
+                let same = |n| same_group(group, self.nodes.get(&n), self.nodes.get(&first));
+                node.is_none_or(same) && self.now - sent + Span::from_secs(SAFE_EDGE) < window
             }
         }
     }
@@ -717,27 +712,10 @@
         let keep = self.now + Span::from_secs(UNDONE_MEMORY);
         self.undone.note(ask, Undone { slo_at: x.slo_at, left: x.expiry + self.margin - x.arrived, keep });
         self.finish(id);
-        self.forget(id);
     }
 
     fn finish(&mut self, id: XferId) {
-        let Some(x) = self.xfers.get_mut(&id) else { return };
-        x.ended = true;
-        x.waiting = false;
-        if let Some(t) = x.turn.and_then(|k| self.turns.get_mut(&k)) {
-            let next = t.leave(id);
-            self.due.extend(next.and_then(|q| self.xfers.get(&q)).and_then(|x| x.shard));
-        }
-    }
-
-    fn forget(&mut self, id: XferId) {
-        let over = self.xfers.get(&id).filter(|x| x.ended && x.out.is_empty());
-        let Some(turn) = over.map(|x| x.turn) else { return };
-        self.xfers.remove(&id);
-        let now = self.now;
-        if let Some(k) = turn.filter(|k| self.turns.get(k).is_some_and(|t| t.is_idle(now))) {
-            self.turns.remove(&k);
-        }
+        self.due.extend(end(&mut self.xfers, &mut self.turns, id, self.now));
     }
 
     fn enqueue(&mut self, id: XferId, first: bool) {
@@ -758,18 +736,11 @@
     /// New objects: nodes take turns, weighted by what each was seen to manage (cap over usual time); one not
     /// yet heard from counts like the mean of the others.
     fn rotate(&mut self) -> Option<ShardId> {
-        let usual = |n: &Node| {
-            let seen: Vec<f64> = n.latency.iter().filter_map(|h| h.at(0.5)).collect();
-            (!seen.is_empty()).then(|| seen.iter().sum::<f64>() / seen.len() as f64)
-        };
-        let seen: Vec<f64> = self.nodes.values().filter_map(usual).collect();
-        let mean = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
         let able = self.nodes.values_mut().filter(|n| n.state == NodeState::Ready && !n.sick);
         take_turn(able.map(|n| {
             let fresh = n.up_since.is_some_and(|u| self.now - u < self.cold.warm);
-            let weight =
-                if fresh { self.cold.from } else { 1.0 } * n.cap / usual(n).unwrap_or(mean).max(1e-3);
-            (n, weight)
+            let managed = if fresh { self.cold.from } else { 1.0 } * n.cap;
+            (n, managed)
         }))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -239,7 +239,8 @@
     pub cap: f64,
     pub least: f64, // of the cap
     pub cut_at: Instant,
-    pub took: f64, // seconds, the last answer
+    pub waiting: f64, // transfers, as it last reported
+    pub took: f64,    // seconds, the last answer
     pub credit: f64,
     pub good: f64,
     pub bad: f64,
@@ -324,6 +325,12 @@
         self.out_rank[rank] -= 1;
     }
 
+    /// The mean over stream types of the median time, in seconds.
+    pub fn mean_time(&self) -> Option<f64> {
+        let seen: Vec<f64> = self.latency.iter().filter_map(|h| h.at(0.5)).collect();
+        (!seen.is_empty()).then(|| seen.iter().sum::<f64>() / seen.len() as f64)
+    }
+
     pub fn halve(&mut self, at: f64) {
         if self.good + self.bad >= at {
             self.good /= 2.0;
@@ -365,6 +372,7 @@
             cap,
             least,
             cut_at: now,
+            waiting: 0.0,
             took: 0.0,
             credit,
             good: 0.0,
@@ -384,6 +392,12 @@
         self.free_at = self.free_at.max(rest_until.unwrap_or_default());
     }
 
+    /// When the key is free at the earliest, if this transfer may not leave now.
+    pub fn wait(&self, id: XferId, now: Instant) -> Option<Instant> {
+        let free = self.holder == Some(id) || (self.out == 0 && self.free_at <= now);
+        (self.line.front() != Some(&id) || !free).then_some(self.free_at)
+    }
+
     pub fn is_idle(&self, now: Instant) -> bool {
         self.line.is_empty() && self.out == 0 && self.free_at <= now
     }
@@ -447,12 +461,16 @@
     }
 }
 
-/// Smooth weighted rotation: each gains its part of the weights; the one that has most takes the turn.
+/// Smooth weighted rotation: each gains its part of the weights, what is given over its usual time; the one
+/// that has most takes the turn. One not yet heard from counts like the mean of the others.
 pub fn take_turn<'a>(nodes: impl Iterator<Item = (&'a mut Node, f64)>) -> Option<ShardId> {
-    let mut nodes: Vec<_> = nodes.collect();
-    let total: f64 = nodes.iter().map(|(_, weight)| weight).sum();
-    nodes.iter_mut().for_each(|(n, weight)| n.turn += *weight / total);
-    let (n, _) = nodes.into_iter().max_by(|a, b| a.0.turn.total_cmp(&b.0.turn))?;
+    let mut nodes: Vec<_> = nodes.map(|(n, managed)| (n.mean_time(), n, managed)).collect();
+    let seen: Vec<f64> = nodes.iter().filter_map(|n| n.0).collect();
+    let mean = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
+    let weight = |time: Option<f64>, managed: f64| managed / time.unwrap_or(mean).max(1e-3);
+    let total: f64 = nodes.iter().map(|(time, _, managed)| weight(*time, *managed)).sum();
+    nodes.iter_mut().for_each(|(time, n, managed)| n.turn += weight(*time, *managed) / total);
+    let (_, n, _) = nodes.into_iter().max_by(|a, b| a.1.turn.total_cmp(&b.1.turn))?;
     n.turn -= 1.0;
     Some(n.shard)
 }
@@ -466,11 +484,56 @@
 }
 
 impl Losses {
-    pub fn note(&mut self, lost: bool, kept: bool, halve_at: f64) {
+    /// Gives the new mode where it changes: legs get lost from `least` on, if they are more than `part`.
+    pub fn note(&mut self, lost: bool, kept: bool, halve_at: f64, least: f64, part: f64) -> Option<bool> {
         self.lost += f64::from(u8::from(lost));
         self.kept += f64::from(u8::from(kept));
         if self.lost + self.kept >= halve_at {
             (self.lost, self.kept) = (self.lost / 2.0, self.kept / 2.0);
         }
+        let losing = self.lost >= least && self.lost > part * (self.lost + self.kept);
+        (losing != std::mem::replace(&mut self.losing, losing)).then_some(losing)
+    }
+}
+
+/// Ranks stream types by SLO time, the tighter first; gives the tightest.
+pub fn rank_by_slo(streams: &mut [Stream]) -> Span {
+    let mut slos: Vec<Span> = streams.iter().map(|s| s.slo).collect();
+    slos.sort();
+    slos.dedup();
+    for s in streams {
+        s.rank = slos.iter().position(|x| *x == s.slo).unwrap_or(0);
+    }
+    slos.first().copied().unwrap_or_default()
+}
+
+/// Marks a transfer as over; gives the shard of the one whose turn on its key comes next.
+pub fn end(
+    xfers: &mut HashMap<XferId, Xfer>,
+    turns: &mut HashMap<KeyId, Turn>,
+    id: XferId,
+    now: Instant,
+) -> Option<ShardId> {
+    let x = xfers.get_mut(&id)?;
+    (x.ended, x.waiting) = (true, false);
+    let next = x.turn.and_then(|k| turns.get_mut(&k)).and_then(|t| t.leave(id));
+    forget(xfers, turns, id, now);
+    next.and_then(|q| xfers.get(&q)).and_then(|x| x.shard)
+}
+
+/// Drops a transfer that is over and has no leg out, and its key where nothing is left to order.
+pub fn forget(xfers: &mut HashMap<XferId, Xfer>, turns: &mut HashMap<KeyId, Turn>, id: XferId, now: Instant) {
+    let Some(turn) = xfers.get(&id).filter(|x| x.ended && x.out.is_empty()).map(|x| x.turn) else { return };
+    xfers.remove(&id);
+    if let Some(k) = turn.filter(|k| turns.get(k).is_some_and(|t| t.is_idle(now))) {
+        turns.remove(&k);
+    }
+}
+
+pub fn same_group(group: Group, a: Option<&Node>, b: Option<&Node>) -> bool {
+    match group {
+        Group::All => true,
+        Group::Zone => a.map(|n| n.zone) == b.map(|n| n.zone),
+        Group::Shard => a.map(|n| n.shard) == b.map(|n| n.shard),
     }
 }
