--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,8 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 const CAP_START: f64 = 8.0; // transfers out at one node, and mean sizes out
-const CAP_LEAST: f64 = 1.0; // at few hosts; below one, a host rests between transfers
-const FEW: f64 = 4.0; // hosts: up to these each may keep a node busy, beyond them they share that
+const FEW: f64 = 4.0; // hosts: up to these each may keep a transfer out at a node, beyond them they share
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
 const REST_MOST: f64 = 2.0; // seconds
@@ -227,7 +226,8 @@
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
             lost = o == Outcome::TimedOut && n.done > passed + OVERTAKEN;
-            n.answered(now, o, took.secs(), st.slo.secs(), self.tightest.secs(), held, hurried);
+            let judges = st.slo.secs() <= TIGHT * self.tightest.secs();
+            n.answered(now, o, took.secs(), st.slo.secs(), judges, (held, hurried));
             if o == Outcome::Done {
                 n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
@@ -284,17 +284,12 @@
             self.list_fails = 0;
         }
         if kind != ListKind::Changes {
-            let named: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
-            for (id, n) in &mut self.nodes {
-                if !named.contains(id) {
-                    n.state = NodeState::Gone;
-                }
-            }
+            unlisted_are_gone(&mut self.nodes, entries);
         }
         let ranks = self.streams.iter().map(|s| s.rank + 1).max().unwrap_or(1);
         let fresh = vec![Histogram::new(LATENCY_FIRST, LATENCY_HALVE); self.streams.len()];
         let few = (FEW / self.hosts).min(1.0);
-        let caps = (CAP_START * few.sqrt(), CAP_LEAST * few);
+        let caps = (CAP_START * few.sqrt(), few);
         for e in entries {
             let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START);
             // Hosts start the rotation of new objects each elsewhere, else all begin at the same node.
@@ -324,30 +319,17 @@
 impl Node {
     /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
     /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
-    #[allow(clippy::too_many_arguments)]
-    fn answered(
-        &mut self,
-        now: Instant,
-        o: Outcome,
-        took: f64,
-        slo: f64,
-        tightest: f64,
-        held: bool,
-        hurried: bool,
-    ) {
+    fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, judges: bool, leg: (bool, bool)) {
+        let (held, hurried) = leg;
         self.took = took;
         match o {
             Outcome::Done => {
                 self.good += 1.0;
                 self.credit = (self.credit + CREDIT_EARNED).min(CREDIT_MOST);
-                if slo > TIGHT * tightest {
-                    return self.halve(HEALTH_HALVE);
-                }
-                if took < CAP_TARGET * slo {
-                    if held {
-                        self.cap = (self.cap + CAP_RISE * self.cap.min(1.0 / self.cap)).min(CAP_MOST);
-                    }
-                } else {
+                let fast = took < CAP_TARGET * slo;
+                if judges && fast && held {
+                    self.cap = (self.cap + CAP_RISE * self.cap.min(1.0 / self.cap)).min(CAP_MOST);
+                } else if judges && !fast {
                     self.cut(now, took, CAP_TARGET * slo / took);
                 }
             }
@@ -374,9 +356,15 @@
         }
     }
 
-    /// When a place is free for this: nothing if only an answer can free one. Hosts that don't know of each
-    /// other may each keep one out and still fill a node: a cap below one rests after each transfer.
-    fn room_at(&self, rank: usize, conforming: bool, mean_units: f64) -> Option<Instant> {
+    /// Whether a place is free for this; if not, when, unless only an answer can free one. Hosts that each
+    /// keep one out can still fill a node: a cap below one rests between transfers.
+    fn room(
+        &self,
+        now: Instant,
+        rank: usize,
+        conforming: bool,
+        mean_units: f64,
+    ) -> Result<(), Option<Instant>> {
         let cap = self.cap * if conforming { 1.0 } else { EXCESS_PART };
         // What a node reports is common to all hosts; what each has out there is not, once they are many.
         let cap = cap / (self.waiting / if conforming { WAITING } else { WAITING_EXCESS }).max(1.0);
@@ -388,7 +376,11 @@
                 && self.out_units < cap * mean_units
                 && (above == 0 || (at_or_below as f64) < (cap * LOWER_PART).max(1.0));
         let rest = if cap < 1.0 { (self.took / cap).min(REST_MOST) } else { 0.0 };
-        free.then_some(self.sent_at + Span::from_secs(rest))
+        let rested = self.sent_at + Span::from_secs(rest);
+        match free {
+            true if rested <= now => Ok(()),
+            free => Err(free.then_some(rested)),
+        }
     }
 
     fn usual(&self, stream: StreamId) -> Span {
@@ -439,11 +431,6 @@
         for name in names {
             let Some(head) = self.first_in_time(shard, name, node) else { continue };
             let Some(node) = node else { continue };
-            if let Err(t) = self.may_leave(head, node) {
-                look = Some(look.map_or(t, |l| l.min(t)));
-                continue;
-            }
-            let nd = &self.nodes[&node];
             let x = &self.xfers[&head];
             let plan = &self.plans[x.plan.0 as usize];
             let conforming = self.volumes.get_mut(&x.volume).is_some_and(|v| {
@@ -453,15 +440,13 @@
             });
             // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
             let rank = if conforming && x.slo_at - now <= self.tightest { 0 } else { self.rank(head) };
-            match nd.room_at(rank, conforming, self.mean_units) {
-                Some(t) if t <= now => {}
-                Some(t) => {
-                    look = Some(look.map_or(t, |l| l.min(t)));
-                    continue;
-                }
-                None => continue,
+            let volume = x.volume;
+            let room = self.nodes[&node].room(now, rank, conforming, self.mean_units);
+            if let Err(t) = room.and_then(|()| self.may_leave(head, node).map_err(Some)) {
+                look = look.into_iter().chain(t).min();
+                continue;
             }
-            let score = (rank, !conforming, self.shards[&shard].start(x.volume));
+            let score = (rank, !conforming, self.shards[&shard].start(volume));
             if best.is_none_or(|b| score < b.0) {
                 best = Some((score, head, conforming));
             }
@@ -483,15 +468,9 @@
         node: Option<NodeId>,
     ) -> Option<XferId> {
         loop {
+            let id = self.shards.get_mut(&shard)?.head(name, |id| waits_at(&self.xfers, id, shard))?;
+            let x = &self.xfers[&id];
             let queue = self.shards.get_mut(&shard)?.queues.get_mut(&name)?;
-            let Some(&id) = queue.front() else {
-                self.shards.get_mut(&shard)?.queues.remove(&name);
-                return None;
-            };
-            let Some(x) = self.xfers.get(&id).filter(|x| x.waiting && x.shard == Some(shard)) else {
-                queue.pop_front();
-                continue;
-            };
             // A new object that waits for a node which can't take it finds another.
             if node.is_none() && x.any_node && x.ran.is_none() && self.now < x.slo_at {
                 queue.pop_front();
@@ -528,19 +507,13 @@
         loop {
             let sh = self.shards.get_mut(&shard)?;
             let id = *sh.late.front()?;
-            if !self.xfers.get(&id).is_some_and(|x| x.waiting && x.shard == Some(shard)) {
-                sh.late.pop_front();
-                continue;
-            }
-            // Past its SLO time while others wait: its work would be in the way of what can still earn.
-            if self.now >= self.xfers[&id].slo_at && sh.late.len() > 1 {
+            if !waits_at(&self.xfers, id, shard) {
                 sh.late.pop_front();
-                self.answer(id, Some(self.longest_wait));
                 continue;
             }
             let none_in_time = sh.queues.is_empty();
-            let room = self.nodes[&n].room_at(self.rank(id), false, self.mean_units);
-            let idle = none_in_time && room.is_some_and(|t| t <= self.now);
+            let room = self.nodes[&n].room(self.now, self.rank(id), false, self.mean_units);
+            let idle = none_in_time && room.is_ok();
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -267,6 +267,17 @@
         self.tags.get(&volume).copied().unwrap_or(0.0).max(self.vtime)
     }
 
+    /// First of a queue, past those that no longer wait here.
+    pub fn head(&mut self, name: (VolumeId, StreamId), waits: impl Fn(XferId) -> bool) -> Option<XferId> {
+        let queue = self.queues.get_mut(&name)?;
+        while queue.pop_front_if(|id| !waits(*id)).is_some() {}
+        let first = queue.front().copied();
+        if first.is_none() {
+            self.queues.remove(&name);
+        }
+        first
+    }
+
     pub fn charge(&mut self, volume: VolumeId, cost: f64) {
         self.vtime = self.start(volume);
         self.tags.insert(volume, self.vtime + cost);
@@ -537,3 +548,14 @@
         Group::Shard => a.map(|n| n.shard) == b.map(|n| n.shard),
     }
 }
+
+pub fn unlisted_are_gone(nodes: &mut BTreeMap<NodeId, Node>, entries: &[NodeEntry]) {
+    let named: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
+    for (_, n) in nodes.iter_mut().filter(|(id, _)| !named.contains(id)) {
+        n.state = NodeState::Gone;
+    }
+}
+
+pub fn waits_at(xfers: &HashMap<XferId, Xfer>, id: XferId, shard: ShardId) -> bool {
+    xfers.get(&id).is_some_and(|x| x.waiting && x.shard == Some(shard))
+}
