--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,6 +8,7 @@
     pub s: Scheduler,
     pub now: f64,
     pub left: f64,
+    pub told: u32, // hosts of each volume
     next: u32,
 }
 
@@ -20,7 +21,11 @@
     /// 4 and weight 1, plan 2 nothing and weight 3, plan 3 nothing
     /// and weight 1.
     pub fn new(hosts: u32, effect: Effect, in_order: bool) -> Self {
-        let mut s = Scheduler::new(Instant::from_secs(100.0), 7, hosts, secs(0.002), 2.0);
+        Desk::of(7, hosts, effect, in_order)
+    }
+
+    pub fn of(seed: u64, hosts: u32, effect: Effect, in_order: bool) -> Self {
+        let mut s = Scheduler::new(Instant::from_secs(100.0), seed, hosts, secs(0.002), 2.0);
         s.stream(secs(0.5), effect, in_order);
         s.stream(secs(2.0), effect, in_order);
         s.plan(10.0, 40.0, 4.0, 0.0, 1.0);
@@ -28,7 +33,7 @@
         s.plan(0.0, 0.0, 0.0, 0.0, 3.0);
         s.plan(0.0, 0.0, 0.0, 0.0, 1.0);
         s.leg_limits(4, secs(1.0), secs(0.3));
-        Desk { s, now: 100.0, left: 3.0, next: 0 }
+        Desk { s, now: 100.0, left: 3.0, told: 2, next: 0 }
     }
 
     pub fn at(&self) -> Instant {
@@ -59,7 +64,7 @@
         let (at, left) = (self.at(), secs(self.left));
         let shard = u32::try_from(shard).ok().map(ShardId);
         let (st, pl, vol) = (StreamId(stream), PlanId(plan), VolumeId(volume));
-        self.s.transfer_arrived(at, id, st, pl, Some(KeyId(key)), left, vol, units, shard, 2);
+        self.s.transfer_arrived(at, id, st, pl, Some(KeyId(key)), left, vol, units, shard, self.told);
         id
     }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::{secs, sent, Desk};
 use tackmast::histogram::Histogram;
-use tackmast::interface::{Decision, Effect, LegNo, ListKind, NodeState, Outcome, XferId};
+use tackmast::interface::{Decision, Effect, LegNo, ListKind, NodeId, NodeState, Outcome, XferId};
 
 fn desk(nodes: u32) -> Desk {
     let mut d = Desk::new(1, Effect::Repeatable, false);
@@ -29,6 +29,60 @@
     }
 }
 
+#[test]
+fn caps_shrink_the_more_hosts_share_the_node() {
+    // Hosts, how long answers take, what the node says waits there; the least and most legs that one host
+    // with plenty waiting sends in 10 s. Many must not fill a node that each keeps only one transfer at.
+    for (hosts, took, waiting, least, most) in [
+        (1, 0.05, 0.0, 400, 4000),
+        (4, 0.4, 0.0, 20, 120),
+        (250, 0.05, 0.0, 100, 4000),
+        (250, 0.4, 0.0, 5, 20),
+        (250, 0.05, 20.0, 5, 40),
+    ] {
+        let mut d = Desk::new(hosts, Effect::Repeatable, false);
+        d.ready(1);
+        let (mut out, mut legs) = (std::collections::VecDeque::new(), 0);
+        for step in 0..1000 {
+            d.take(0, 2, step % 5, 1.0, 0, step);
+            let end = d.now + 0.01;
+            for (t, x) in d.until(end).into_iter().filter_map(|(t, x)| Some((t, sent(&x)?.0))) {
+                out.push_back((t, x));
+                legs += 1;
+            }
+            while let Some((_, x)) = out.pop_front_if(|o| o.0 + took <= end) {
+                d.s.load_reported(d.at(), NodeId(0), waiting);
+                d.end(x, 0, Outcome::Done, took);
+            }
+        }
+        assert!((least..=most).contains(&legs), "{hosts} hosts, {took} s, {waiting} waiting: {legs}");
+    }
+}
+
+#[test]
+fn a_node_too_slow_for_hurried_clients_gets_less() {
+    // How long clients wait; the least and most legs of 300 to a node that takes 0.1 s. Their time-outs come
+    // within the SLO time, so answers alone would never show that nothing is served.
+    for (left, least, most) in [(3.0, 200, 300), (0.08, 1, 60)] {
+        let mut d = Desk::new(100, Effect::Repeatable, false);
+        d.ready(1);
+        d.left = left;
+        let mut legs = 0;
+        for step in 0..300 {
+            d.take(0, 2, 0, 1.0, 0, step);
+            let end = d.now + 0.1;
+            for (_, x) in d.until(end).into_iter().filter_map(|(t, x)| Some((t, sent(&x)?.0))) {
+                legs += 1;
+                match left > 0.1 {
+                    true => d.end(x, 0, Outcome::Done, 0.1),
+                    false => d.s.leg_ended(d.at(), x, LegNo(0), Outcome::TimedOut, secs(left), false),
+                }
+            }
+        }
+        assert!((least..=most).contains(&legs), "clients that wait {left} s: {legs}");
+    }
+}
+
 #[test]
 fn who_leaves_first_when_a_place_is_free() {
     // What waits (stream, plan) in order of arrival; which one leaves.
@@ -177,6 +231,16 @@
         }
         assert!((least..=most).contains(&first), "{a} {b}: {first}");
     }
+    // Hosts don't all begin at the same node.
+    let mut firsts = [0; 5];
+    for seed in 0..200 {
+        let mut d = Desk::of(seed, 200, Effect::Repeatable, false);
+        d.ready(5);
+        d.take(0, 2, 0, 1.0, -1, 0);
+        let to = d.pull().iter().filter_map(sent).next().expect("a node takes it").1;
+        firsts[to.0 as usize] += 1;
+    }
+    assert!(firsts.iter().all(|n| *n < 80), "{firsts:?}");
     // A node that drains is passed over, and what was meant for it goes elsewhere.
     let mut d = desk(2);
     d.list(ListKind::Changes, &[(0, NodeState::Draining, None)]);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -117,6 +117,43 @@
     }
 }
 
+#[test]
+fn a_cold_node_bears_what_all_hosts_send() {
+    // Hosts, and how many of them start anew with the node. It serves 24 units a second when warm and can do
+    // 40, of which a fifth when cold; all lists tell of its start at other times, and it answers none.
+    for (hosts, anew) in [(1u32, 0u32), (4, 0), (40, 0), (40, 20), (250, 0), (250, 100)] {
+        let start = |h: u32| {
+            let mut d = Desk::of(u64::from(h), hosts, Effect::Repeatable, false);
+            d.s.cold_nodes(12.0, 0.2, secs(10.0), secs(3.0), 2.0);
+            d
+        };
+        let mut desks: Vec<Desk> = (0..hosts).map(start).collect();
+        desks.iter_mut().for_each(|d| d.ready(1));
+        for step in 0..360u32 {
+            let d = &mut desks[(step * 7919 % hosts) as usize];
+            d.now = 100.0 + f64::from(step) / 12.0;
+            let x = d.take(0, 2, 0, 2.0, 0, step);
+            d.pull();
+            d.end(x, 0, Outcome::Done, 0.02);
+        }
+        let mut units = 0.0;
+        for h in 0..hosts {
+            let mut d = if h < anew { start(h) } else { desks.remove(0) };
+            d.now = 131.0 + f64::from(h % 10) * 0.1;
+            d.list(ListKind::Complete, &[(0, NodeState::Ready, Some(130.5))]);
+            for step in 0..40 {
+                d.take(0, 2, 0, 2.0, 0, step);
+                let end = d.now + 0.05;
+                units += 2.0 * d.until(end).iter().filter(|(_, x)| sent(x).is_some()).count() as f64;
+            }
+        }
+        // Within 3 s of its start it bears twice what it can do by then, at its least.
+        let bears = 2.0 * 3.0 * 40.0 * (0.2 + 0.8 * 0.15);
+        assert!(units <= bears, "{hosts} hosts, {anew} anew: {units} units, {bears} borne");
+        assert!(units >= 8.0, "{hosts} hosts, {anew} anew: starved with {units} units");
+    }
+}
+
 #[test]
 fn order_is_kept_for_a_key() {
     // How the first one ends; how long the key then rests.
@@ -216,3 +253,32 @@
         assert!(drawn > 0.45 * 400.0, "{before}/{after}: the limit is also used: {drawn}");
     }
 }
+
+#[test]
+fn parts_of_a_limit_sum_within_it_for_any_number_of_hosts() {
+    // Hosts and the units that the limit's store holds, a quarter of which it fills a second. Each host floods it, late
+    // enough to know the volume. Where its part holds two of the largest, these pass; else they may not.
+    for (hosts, burst) in [(1u32, 40.0), (3, 48.0), (24, 384.0), (300, 4800.0), (24, 40.0), (300, 40.0)] {
+        let (mut units, mut largest) = (0.0, 0);
+        for h in 0..hosts {
+            let mut d = Desk::of(u64::from(h), hosts, Effect::Repeatable, false);
+            d.s.plan(burst / 4.0, burst, 8.0, 0.0, 1.0);
+            (d.told, d.left) = (hosts, 9.0);
+            d.ready(1);
+            let first = d.take(1, 4, 0, 2.0, 0, 0);
+            d.until(160.0);
+            d.end(first, 0, Outcome::Done, 0.01);
+            for i in 0..160 {
+                d.take(1, 4, 0, if i % 9 == 0 { 8.0 } else { 2.0 }, 0, i);
+                let end = d.now + 0.05;
+                for (x, _) in d.until(end).iter().filter_map(|(_, x)| sent(x)) {
+                    let size = if x.0 % 9 == 1 { 8.0 } else { 2.0 };
+                    (units, largest) = (units + size, largest + u32::from(size > 2.0));
+                    d.end(x, 0, Outcome::Done, 0.01);
+                }
+            }
+        }
+        assert!(units <= burst + burst / 4.0 * 8.0 + 8.0, "{hosts} hosts: {units} of {burst}");
+        assert_eq!(largest > 0, burst >= 16.0 * f64::from(hosts), "{hosts} hosts of {burst}: {largest}");
+    }
+}
