A transfer above its host's part of a limit's burst no longer passes

The module test with 24 hosts of a store of 40 units sent 192: a part under one transfer let each host pass one, so many hosts could overdraw the store. Sites promise two largest for each host, so nothing changes there.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -549,10 +549,11 @@
         let plan = &self.plans[x.plan.0 as usize];
         if plan.limit > 0.0 && !x.drew {
             if let Some(v) = self.volumes.get_mut(&x.volume) {
-                let rate = plan.limit * Self::part(v, now);
-                let wait = v.limit.wait(now, rate, plan.burst / v.hosts, x.units);
-                if wait > Span::ZERO {
-                    return Err(now + wait);
+                let (rate, burst) = (plan.limit * Self::part(v, now), plan.burst / v.hosts);
+                let wait = v.limit.wait(now, rate, burst, x.units);
+                // More than the part ever holds must not pass: every host would overdraw the one store.
+                if wait > Span::ZERO || x.units > burst {
+                    return Err(if x.units > burst { x.expiry } else { now + wait });
                 }
             }
         }
