New objects go to nodes with a free place, where there is one

A new object given to a node that rests or is full waits there though others are free; reads follow it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -710,7 +710,11 @@
     /// New objects: nodes take turns, weighted by what each was seen to manage (cap over usual time); one not
     /// yet heard from counts like the mean of the others.
     fn rotate(&mut self) -> Option<ShardId> {
-        let able = self.nodes.values_mut().filter(|n| n.state == NodeState::Ready && !n.sick);
+        let (now, mean) = (self.now, self.mean_units);
+        let able = |n: &Node| n.state == NodeState::Ready && !n.sick;
+        let room = |n: &Node| able(n) && n.room(now, 0, false, mean).is_ok();
+        let any = self.nodes.values().any(room);
+        let able = self.nodes.values_mut().filter(|n| if any { room(n) } else { able(n) });
         take_turn(able.map(|n| {
             let fresh = n.up_since.is_some_and(|u| self.now - u < self.cold.warm);
             let managed = if fresh { self.cold.from } else { 1.0 } * n.cap;
