Drowned nodes cut the cap, lost legs are known sooner, rests may be longer with many hosts

Now a time-out cuts it if nothing was answered meanwhile, and the longest rest grows with the root of the host count. It should also catch vanished and dying nodes; it may hurt where lost legs look like silence, so a leg counts as lost once one later leg was answered or the next answer is fast, and time-outs use the times at all nodes until a node has shown eight of its own.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,7 @@
 const FEW: f64 = 4.0; // hosts: up to these each may keep a transfer out at a node, beyond them they share
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
-const REST_MOST: f64 = 2.0; // seconds
+const REST_MOST: f64 = 2.0; // seconds, at few hosts
 const CAP_CUT: f64 = 0.5; // at most to this part at once, the more the slower the answer
 const CAP_CUT_LEAST: f64 = 0.9;
 const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
@@ -35,12 +35,10 @@
 const RESERVE_BURST: f64 = 1.0; // seconds of the reservation that its bucket holds
 const CREDIT_START: f64 = 2.0;
 const CREDIT_MOST: f64 = 8.0;
-const CREDIT_EARNED: f64 = 1.0;
 const HEALTH_HALVE: f64 = 16.0;
 const SICK_AFTER: f64 = 6.0; // bad answers
 const SICK_BELOW: f64 = 0.05; // part of answers that are good
 const TRICKLE: f64 = 0.1; // seconds between legs to a sick node
-const OVERTAKEN: u64 = 4; // later legs answered before one that times out is taken for lost
 const LOST_LEAST: f64 = 2.0;
 const LOST_PART: f64 = 0.02;
 const LOST_HALVE: f64 = 128.0;
@@ -85,6 +83,7 @@
     xfers: HashMap<XferId, Xfer>,
     alarms: BinaryHeap<Reverse<(Instant, Alarm)>>,
     lost: Losses,
+    everywhere: Vec<Histogram>, // times at all nodes, for each stream type
     undone: Undones,
     due: BTreeSet<ShardId>,
     homeless: Vec<XferId>, // new objects for which no node was to be had
@@ -115,6 +114,7 @@
     pub fn stream(&mut self, slo: Span, effect: Effect, in_order: bool) {
         self.streams.push(Stream { slo, rank: 0, effect, in_order });
         self.tightest = rank_by_slo(&mut self.streams);
+        self.everywhere.push(Histogram::new(LATENCY_FIRST, LATENCY_HALVE));
     }
 
     /// `longest_wait` is the longest that a client can be asked to stay away; zero: it can't be asked.
@@ -212,7 +212,7 @@
         self.now = now;
         let Some(x) = self.xfers.get_mut(&id) else { return };
         let Some(i) = x.out.iter().position(|l| l.no == leg.0) else { return };
-        let Leg { no, node, passed, held } = x.out.remove(i);
+        let Leg { no, node, passed, seen, held } = x.out.remove(i);
         if x.ran.is_some_and(|r| r.0 == no) && !o.may_have_run() {
             x.ran = None;
         }
@@ -225,12 +225,13 @@
         if let Some(n) = self.nodes.get_mut(&node) {
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
-            lost = o == Outcome::TimedOut && n.done > passed + OVERTAKEN;
+            lost = n.lost(o, passed, took.secs() < CAP_TARGET * st.slo.secs());
             let judges = st.slo.secs() <= TIGHT * self.tightest.secs();
-            n.answered(now, o, took.secs(), st.slo.secs(), judges, (held, hurried));
+            n.answered(now, o, took.secs(), st.slo.secs(), judges, [held, hurried, n.done == seen]);
             if o == Outcome::Done {
                 n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
+                self.everywhere[stream.0 as usize].add(took.secs());
                 n.cold.level = (n.cold.level - units).max(0.0);
                 let shard = self.shards.entry(n.shard).or_default();
                 shard.pace.add(now, units, COLD_MEMORY);
@@ -291,19 +292,15 @@
         let few = (FEW / self.hosts).min(1.0);
         let caps = (CAP_START * few.sqrt(), few);
         for e in entries {
-            let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START);
-            // Hosts start the rotation of new objects each elsewhere, else all begin at the same node.
+            // By chance: else all hosts begin the rotation at one node, and all send at once to a cold one.
             let chance = f64::from(self.rng.0.rand_float());
-            let first_turn = chance * (self.mean_units - self.cold.safe / self.hosts).max(0.0);
-            let n = self.nodes.entry(e.node).or_insert_with(|| {
-                let cold = Bucket { level: first_turn, at: now };
-                Node { turn: chance, cold, ..new() }
-            });
+            let first = (chance, chance * (self.mean_units - self.cold.safe / self.hosts).max(0.0));
+            let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START, first);
+            let n = self.nodes.entry(e.node).or_insert_with(new);
             n.state = e.state;
             if e.up_since > n.up_since {
                 // What was learned of its earlier life no longer holds; what is out still is.
-                n.restart(now, e, fresh.clone(), caps, CREDIT_START);
-                n.cold.level = first_turn;
+                n.restart(now, e, fresh.clone(), caps, CREDIT_START, first);
                 let age = e.up_since.map_or(0.0, |u| (now - u).secs());
                 self.log(format!("node {} cold: up for {age:.1}s", e.node.0));
             }
@@ -319,13 +316,13 @@
 impl Node {
     /// Cap, credit and health follow each answer. The cap rises while answers come well within the SLO time
     /// and is cut when they don't: against any slowness (queue, pauses, costly work), whatever its cause.
-    fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, judges: bool, leg: (bool, bool)) {
-        let (held, hurried) = leg;
+    fn answered(&mut self, now: Instant, o: Outcome, took: f64, slo: f64, judges: bool, leg: [bool; 3]) {
+        let [held, hurried, silent] = leg;
         self.took = took;
         match o {
             Outcome::Done => {
                 self.good += 1.0;
-                self.credit = (self.credit + CREDIT_EARNED).min(CREDIT_MOST);
+                self.credit = (self.credit + 1.0).min(CREDIT_MOST);
                 let fast = took < CAP_TARGET * slo;
                 if judges && fast && held {
                     self.cap = (self.cap + CAP_RISE * self.cap.min(1.0 / self.cap)).min(CAP_MOST);
@@ -335,9 +332,10 @@
             }
             Outcome::TimedOut => {
                 self.bad += 1.0;
-                // Its client's time was up before the SLO time: for such clients it is too slow. Against
-                // hurried clients that ask again and again. A leg out for longer may have got lost instead.
-                if hurried && took < slo {
+                // Its client's time was up before the SLO time, or nothing at all was answered meanwhile: too
+                // slow, or drowned. Against hurried clients, and against many hosts that each send one leg a
+                // time-out and so keep a full queue full. Else it may have got lost, and others arrive.
+                if if took < slo { hurried } else { silent } {
                     self.cut(now, took, CAP_CUT);
                 }
             }
@@ -375,7 +373,7 @@
             || (self.out as f64) < cap.floor()
                 && self.out_units < cap * mean_units
                 && (above == 0 || (at_or_below as f64) < (cap * LOWER_PART).max(1.0));
-        let rest = if cap < 1.0 { (self.took / cap).min(REST_MOST) } else { 0.0 };
+        let rest = if cap < 1.0 { (self.took / cap).min(REST_MOST / self.least.sqrt()) } else { 0.0 };
         let rested = self.sent_at + Span::from_secs(rest);
         match free {
             true if rested <= now => Ok(()),
@@ -427,7 +425,7 @@
         let node = sh.nodes.iter().rev().find(|n| self.nodes[n].state == NodeState::Ready).copied();
         let mut look: Option<Instant> = None;
         let mut best: Option<((usize, bool, f64), XferId, bool)> = None;
-        let names: Vec<(VolumeId, StreamId)> = sh.queues.keys().copied().collect();
+        let names: Vec<Queue> = sh.queues.keys().copied().collect();
         for name in names {
             let Some(head) = self.first_in_time(shard, name, node) else { continue };
             let Some(node) = node else { continue };
@@ -461,12 +459,7 @@
     }
 
     /// First of a queue that can still be in time; those that can't are set aside on the way.
-    fn first_in_time(
-        &mut self,
-        shard: ShardId,
-        name: (VolumeId, StreamId),
-        node: Option<NodeId>,
-    ) -> Option<XferId> {
+    fn first_in_time(&mut self, shard: ShardId, name: Queue, node: Option<NodeId>) -> Option<XferId> {
         loop {
             let id = self.shards.get_mut(&shard)?.head(name, |id| waits_at(&self.xfers, id, shard))?;
             let x = &self.xfers[&id];
@@ -626,7 +619,7 @@
             self.budget.further.push_back(now);
         }
         let held = (n.out + 1) as f64 >= n.cap * EXCESS_PART;
-        x.send(now, node, n.done + n.out as u64, held);
+        x.send(now, node, (n.done, n.out as u64), held);
         n.leg_out(now, st.rank, x.units);
         if let Some(t) = x.turn.and_then(|k| self.turns.get_mut(&k)) {
             t.holder = Some(id);
@@ -635,7 +628,9 @@
         // Where legs get lost, one out for far longer than this node's usual is given up: another may be in
         // time, and lost ones must not fill the caps. Against bad links and lost answers at any node. May
         // hurt where cheap transfers overtake costly ones: credit and the usual time bound what goes twice.
-        let seen = &n.latency[x.stream.0 as usize];
+        let everywhere = &self.everywhere[x.stream.0 as usize];
+        let here = &n.latency[x.stream.0 as usize];
+        let seen = if here.count() >= TIMEOUT_SEEN { here } else { everywhere };
         let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
         let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
         let spare = x.legs < self.most_legs && st.effect != Effect::Unrepeatable;
--- a/src/state.rs
+++ b/src/state.rs
@@ -179,11 +179,11 @@
 }
 
 impl Xfer {
-    pub fn send(&mut self, now: Instant, node: NodeId, passed: u64, held: bool) {
+    pub fn send(&mut self, now: Instant, node: NodeId, (seen, out): (u64, u64), held: bool) {
         self.ran = self.ran.or(Some((self.legs, now, node)));
         self.drew = true;
         self.waiting = false;
-        self.out.push(Leg { no: self.legs, node, passed, held });
+        self.out.push(Leg { no: self.legs, node, passed: seen + out, seen, held });
         self.legs += 1;
     }
 
@@ -224,6 +224,7 @@
     pub no: u32,
     pub node: NodeId,
     pub passed: u64, // once the node has answered more than this, later legs have overtaken it
+    pub seen: u64,   // what the node had answered when it went out
     pub held: bool,  // went out while the caps were what held transfers back
 }
 
@@ -245,15 +246,19 @@
     pub good: f64,
     pub bad: f64,
     pub sick: bool,
+    pub suspect: bool, // a leg timed out and none was answered since
     pub sent_at: Instant,
     pub cold: Bucket,
     pub latency: Vec<Histogram>,
     pub turn: f64,
 }
 
+/// What waits at a shard waits by volume and stream type.
+pub type Queue = (VolumeId, StreamId);
+
 #[derive(Default)]
 pub struct Shard {
-    pub queues: BTreeMap<(VolumeId, StreamId), VecDeque<XferId>>,
+    pub queues: BTreeMap<Queue, VecDeque<XferId>>,
     pub late: VecDeque<XferId>,
     pub nodes: BTreeSet<NodeId>,
     pub tags: BTreeMap<VolumeId, f64>,
@@ -268,7 +273,7 @@
     }
 
     /// First of a queue, past those that no longer wait here.
-    pub fn head(&mut self, name: (VolumeId, StreamId), waits: impl Fn(XferId) -> bool) -> Option<XferId> {
+    pub fn head(&mut self, name: Queue, waits: impl Fn(XferId) -> bool) -> Option<XferId> {
         let queue = self.queues.get_mut(&name)?;
         while queue.pop_front_if(|id| !waits(*id)).is_some() {}
         let first = queue.front().copied();
@@ -336,6 +341,18 @@
         self.out_rank[rank] -= 1;
     }
 
+    /// A time-out is of a lost leg if a later one was answered meanwhile, or else if the next answer is fast.
+    pub fn lost(&mut self, o: Outcome, passed: u64, fast: bool) -> bool {
+        match o {
+            Outcome::TimedOut => {
+                self.suspect = self.done <= passed;
+                !self.suspect
+            }
+            Outcome::Done => std::mem::take(&mut self.suspect) && fast,
+            _ => false,
+        }
+    }
+
     /// The mean over stream types of the median time, in seconds.
     pub fn mean_time(&self) -> Option<f64> {
         let seen: Vec<f64> = self.latency.iter().filter_map(|h| h.at(0.5)).collect();
@@ -357,10 +374,11 @@
         seen: Vec<Histogram>,
         caps: (f64, f64),
         credit: f64,
+        first: (f64, f64),
     ) {
         let (out, done, out_units) = (self.out, self.done, self.out_units);
         let out_rank = std::mem::take(&mut self.out_rank);
-        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, caps, credit) };
+        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, caps, credit, first) };
     }
 
     pub fn new(
@@ -370,6 +388,7 @@
         seen: Vec<Histogram>,
         (cap, least): (f64, f64),
         credit: f64,
+        (turn, cold): (f64, f64),
     ) -> Self {
         Node {
             state: e.state,
@@ -389,10 +408,11 @@
             good: 0.0,
             bad: 0.0,
             sick: false,
+            suspect: false,
             sent_at: now,
-            cold: Bucket { level: 0.0, at: now },
+            cold: Bucket { level: cold, at: now },
             latency: seen,
-            turn: 0.0,
+            turn,
         }
     }
 }
