--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,6 +17,7 @@
 const FEW: f64 = 4.0; // hosts: up to these each may keep a transfer out at a node, beyond them they share
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
+const CAP_START_POWER: f64 = 0.75; // of the few over the hosts there are
 const REST_MOST: f64 = 2.0; // seconds, at few hosts
 const CAP_CUT: f64 = 0.5; // at most to this part at once, the more the slower the answer
 const CAP_CUT_LEAST: f64 = 0.9;
@@ -290,7 +291,7 @@
         let ranks = self.streams.iter().map(|s| s.rank + 1).max().unwrap_or(1);
         let fresh = vec![Histogram::new(LATENCY_FIRST, LATENCY_HALVE); self.streams.len()];
         let few = (FEW / self.hosts).min(1.0);
-        let caps = (CAP_START * few.sqrt(), few);
+        let caps = (CAP_START * few.powf(CAP_START_POWER), few);
         for e in entries {
             // By chance: else all hosts begin the rotation at one node, and all send at once to a cold one.
             let chance = f64::from(self.rng.0.rand_float());
