--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,12 +17,12 @@
 const FEW: f64 = 4.0; // hosts: up to these each may keep a transfer out at a node, beyond them they share
 const CAP_MOST: f64 = 24.0;
 const CAP_RISE: f64 = 0.5; // by this much for each window of good answers
-const CAP_START_POWER: f64 = 0.75; // of the few over the hosts there are
 const REST_MOST: f64 = 2.0; // seconds, at few hosts
 const CAP_CUT: f64 = 0.5; // at most to this part at once, the more the slower the answer
 const CAP_CUT_LEAST: f64 = 0.9;
 const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
 const EXCESS_PART: f64 = 0.7; // of the cap, for units past the reservation
+const LATE_TIGHT: f64 = 0.5; // late transfers count like a stream of twice the tightest SLO time
 const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
 const WAITING: f64 = 8.0; // transfers a node may report to wait before they divide the cap
 const WAITING_EXCESS: f64 = 2.0; // and before they divide it for units past the reservation
@@ -113,7 +113,7 @@
 
     /// Stream types are numbered in the order given.
     pub fn stream(&mut self, slo: Span, effect: Effect, in_order: bool) {
-        self.streams.push(Stream { slo, rank: 0, effect, in_order });
+        self.streams.push(Stream { slo, rank: 0, tight: 1.0, effect, in_order });
         self.tightest = rank_by_slo(&mut self.streams);
         self.everywhere.push(Histogram::new(LATENCY_FIRST, LATENCY_HALVE));
     }
@@ -291,7 +291,7 @@
         let ranks = self.streams.iter().map(|s| s.rank + 1).max().unwrap_or(1);
         let fresh = vec![Histogram::new(LATENCY_FIRST, LATENCY_HALVE); self.streams.len()];
         let few = (FEW / self.hosts).min(1.0);
-        let caps = (CAP_START * few.powf(CAP_START_POWER), few);
+        let caps = (CAP_START * few.sqrt(), few);
         for e in entries {
             // By chance: else all hosts begin the rotation at one node, and all send at once to a cold one.
             let chance = f64::from(self.rng.0.rand_float());
@@ -360,7 +360,7 @@
     fn room(
         &self,
         now: Instant,
-        rank: usize,
+        (rank, tight): (usize, f64),
         conforming: bool,
         mean_units: f64,
     ) -> Result<(), Option<Instant>> {
@@ -368,6 +368,8 @@
         // What a node reports is common to all hosts; what each has out there is not, once they are many.
         let cap = cap / (self.waiting / if conforming { WAITING } else { WAITING_EXCESS }).max(1.0);
         let cap = if self.sick { cap.min(1.0) } else { cap };
+        // Ranking holds within a host; where nodes are shared by many, looser streams rest longer at each.
+        let cap = if cap < 1.0 { cap * tight } else { cap };
         let above: usize = self.out_rank[..rank].iter().sum();
         let at_or_below = self.out - above;
         let free = self.out == 0
@@ -438,9 +440,11 @@
                     && v.reserve.wait(now, part, part * RESERVE_BURST + x.units, x.units) == Span::ZERO
             });
             // A conforming transfer whose SLO time draws near is by then as tight as the tightest.
-            let rank = if conforming && x.slo_at - now <= self.tightest { 0 } else { self.rank(head) };
+            let urgent = conforming && x.slo_at - now <= self.tightest;
+            let st = &self.streams[x.stream.0 as usize];
+            let (rank, tight) = if urgent { (0, 1.0) } else { (st.rank, st.tight) };
             let volume = x.volume;
-            let room = self.nodes[&node].room(now, rank, conforming, self.mean_units);
+            let room = self.nodes[&node].room(now, (rank, tight), conforming, self.mean_units);
             if let Err(t) = room.and_then(|()| self.may_leave(head, node).map_err(Some)) {
                 look = look.into_iter().chain(t).min();
                 continue;
@@ -506,16 +510,13 @@
                 continue;
             }
             let none_in_time = sh.queues.is_empty();
-            let room = self.nodes[&n].room(self.now, self.rank(id), false, self.mean_units);
+            let rank = self.streams[self.xfers[&id].stream.0 as usize].rank;
+            let room = self.nodes[&n].room(self.now, (rank, LATE_TIGHT), false, self.mean_units);
             let idle = none_in_time && room.is_ok();
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
     }
 
-    fn rank(&self, id: XferId) -> usize {
-        self.xfers.get(&id).map_or(0, |x| self.streams[x.stream.0 as usize].rank)
-    }
-
     /// Whether the guards let this transfer leave for this node now; if not, when to look again.
     fn may_leave(&mut self, id: XferId, node: NodeId) -> Result<(), Instant> {
         let now = self.now;
@@ -708,7 +709,7 @@
     fn rotate(&mut self) -> Option<ShardId> {
         let (now, mean) = (self.now, self.mean_units);
         let able = |n: &Node| n.state == NodeState::Ready && !n.sick;
-        let room = |n: &Node| able(n) && n.room(now, 0, false, mean).is_ok();
+        let room = |n: &Node| able(n) && n.room(now, (0, 1.0), false, mean).is_ok();
         let any = self.nodes.values().any(room);
         let able = self.nodes.values_mut().filter(|n| if any { room(n) } else { able(n) });
         take_turn(able.map(|n| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,7 @@
 pub struct Stream {
     pub slo: Span,
     pub rank: usize,
+    pub tight: f64, // the tightest SLO time over this one
     pub effect: Effect,
     pub in_order: bool,
 }
@@ -532,10 +533,12 @@
     let mut slos: Vec<Span> = streams.iter().map(|s| s.slo).collect();
     slos.sort();
     slos.dedup();
+    let tightest = slos.first().copied().unwrap_or_default();
     for s in streams {
         s.rank = slos.iter().position(|x| *x == s.slo).unwrap_or(0);
+        s.tight = tightest.secs() / s.slo.secs().max(1e-6);
     }
-    slos.first().copied().unwrap_or_default()
+    tightest
 }
 
 /// Marks a transfer as over; gives the shard of the one whose turn on its key comes next.
