In time unless both the usual time and the last answer say late

Cause: the usual time is a median over 64 answers, which at a few answers a second outlasts a node's slow spell by half a minute; a recovered node got only late transfers. It should help after any spell (pauses, neighbours, ageing) and may hurt where one cheap answer hides a long queue.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -385,7 +385,7 @@
     }
 
     fn usual(&self, stream: StreamId) -> Span {
-        Span::from_secs(self.latency[stream.0 as usize].at(0.5).unwrap_or(0.0))
+        Span::from_secs(self.latency[stream.0 as usize].at(0.5).unwrap_or(0.0).min(self.took))
     }
 }
 
