Legs to a crowded node time out at their SLO time

Below a cap of one a leg is now given up at its SLO time, so that nodes which drop waiting work do; against any drowned queue, at the cost of what late answers would earn there.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -627,17 +627,17 @@
             t.holder = Some(id);
             t.out += 1;
         }
-        // Where legs get lost, one out for far longer than this node's usual is given up: another may be in
-        // time, and lost ones must not fill the caps. Against bad links and lost answers at any node. May
-        // hurt where cheap transfers overtake costly ones: credit and the usual time bound what goes twice.
-        let everywhere = &self.everywhere[x.stream.0 as usize];
+        // Where legs get lost, one out far longer than usual is given up: it must not fill the caps. Against
+        // bad links; hurts where cheap transfers overtake costly ones. At a crowded node one is given up at
+        // its SLO time, so the queue can drop what is late: against drowned nodes; costs what late ones earn.
         let here = &n.latency[x.stream.0 as usize];
-        let seen = if here.count() >= TIMEOUT_SEEN { here } else { everywhere };
-        let slow = seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES;
-        let timeout = Span::from_secs(slow.max(st.slo.secs() * TIMEOUT_LEAST));
-        let spare = x.legs < self.most_legs && st.effect != Effect::Unrepeatable;
-        let again = self.lost.losing && spare && seen.count() >= TIMEOUT_SEEN;
-        let timeout = Some(timeout).filter(|t| again && now + *t < x.expiry);
+        let seen = if here.count() >= TIMEOUT_SEEN { here } else { &self.everywhere[x.stream.0 as usize] };
+        let far = Span::from_secs(seen.at(TIMEOUT_AT).unwrap_or(0.0) * TIMEOUT_TIMES);
+        let again = self.lost.losing && x.legs < self.most_legs && seen.count() >= TIMEOUT_SEEN;
+        let crowded = (n.cap < 1.0).then_some(st.slo);
+        let timeout =
+            if again { Some(far.max(Span::from_secs(st.slo.secs() * TIMEOUT_LEAST))) } else { crowded };
+        let timeout = timeout.filter(|t| st.effect != Effect::Unrepeatable && now + *t < x.expiry);
         Decision::Send { xfer: id, node, timeout }
     }
 
