What decides about lost legs and rotation weights is back in the module

The records only count and turn; same rules, but an unheard node weighs like the mean of all able nodes, not only of those with a place free.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,7 @@
 const CAP_CUT_LEAST: f64 = 0.9;
 const CAP_TARGET: f64 = 0.5; // answers slower than this part of the SLO time shrink the cap
 const EXCESS_PART: f64 = 0.7; // of the cap, for units past the reservation
-const LATE_TIGHT: f64 = 0.5; // late transfers count like a stream of twice the tightest SLO time
-const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out
+const LOWER_PART: f64 = 0.5; // of the cap, for lower priorities while a higher one is out, and for late ones
 const WAITING: f64 = 8.0; // transfers a node may report to wait before they divide the cap
 const WAITING_EXCESS: f64 = 2.0; // and before they divide it for units past the reservation
 const TIGHT: f64 = 2.0; // streams within this multiple of the tightest SLO time judge the node
@@ -226,7 +225,11 @@
         if let Some(n) = self.nodes.get_mut(&node) {
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
-            lost = n.lost(o, passed, took.secs() < CAP_TARGET * st.slo.secs());
+            // A timed-out leg got lost if a later one was answered meanwhile, or else the next answer is fast.
+            let (out, done, fast) =
+                (o == Outcome::TimedOut, o == Outcome::Done, took.secs() < CAP_TARGET * st.slo.secs());
+            lost = if out { n.done > passed } else { done && fast && n.suspect };
+            n.suspect = if out { n.done <= passed } else { n.suspect && !done };
             let judges = st.slo.secs() <= TIGHT * self.tightest.secs();
             n.answered(now, o, took.secs(), st.slo.secs(), judges, [held, hurried, n.done == seen]);
             if o == Outcome::Done {
@@ -378,10 +381,7 @@
                 && (above == 0 || (at_or_below as f64) < (cap * LOWER_PART).max(1.0));
         let rest = if cap < 1.0 { (self.took / cap).min(REST_MOST / self.least.sqrt()) } else { 0.0 };
         let rested = self.sent_at + Span::from_secs(rest);
-        match free {
-            true if rested <= now => Ok(()),
-            free => Err(free.then_some(rested)),
-        }
+        (free && rested <= now).then_some(()).ok_or(free.then_some(rested))
     }
 
     fn usual(&self, stream: StreamId) -> Span {
@@ -511,7 +511,7 @@
             }
             let none_in_time = sh.queues.is_empty();
             let rank = self.streams[self.xfers[&id].stream.0 as usize].rank;
-            let room = self.nodes[&n].room(self.now, (rank, LATE_TIGHT), false, self.mean_units);
+            let room = self.nodes[&n].room(self.now, (rank, LOWER_PART), false, self.mean_units);
             let idle = none_in_time && room.is_ok();
             return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
         }
@@ -576,11 +576,9 @@
         further + 1.0 <= self.budget.free + self.budget.share * taken
     }
 
-    /// Rule 4. Units sent and not answered stay under this host's part of the always-safe figure; an answer
-    /// frees its units, since that work has been done, and time frees them at a rate that starts low and
-    /// rises no faster than the slowest warming. With many hosts that part is under one transfer. What hosts
-    /// saw a shard do for them sums to no more than its node can do, so the same part of it at each host, as
-    /// much as the cold node can bear, needs no agreement. The first turn comes by chance.
+    /// Rule 4. Units not answered stay under this host's part of the always-safe figure, or one transfer.
+    /// Time frees them at a rate that rises with the slowest warming. What hosts saw a shard do for them sums
+    /// to no more than its node can do, so the same part of it at each host needs no agreement.
     fn cold_room(&mut self, node: NodeId, units: f64) -> Result<(), Instant> {
         let (c, now) = (&self.cold, self.now);
         let Some(n) = self.nodes.get_mut(&node) else { return Ok(()) };
@@ -707,15 +705,17 @@
     /// New objects: nodes take turns, weighted by what each was seen to manage (cap over usual time); one not
     /// yet heard from counts like the mean of the others.
     fn rotate(&mut self) -> Option<ShardId> {
-        let (now, mean) = (self.now, self.mean_units);
+        let (now, mean_units) = (self.now, self.mean_units);
         let able = |n: &Node| n.state == NodeState::Ready && !n.sick;
-        let room = |n: &Node| able(n) && n.room(now, (0, 1.0), false, mean).is_ok();
+        let room = |n: &Node| able(n) && n.room(now, (0, 1.0), false, mean_units).is_ok();
         let any = self.nodes.values().any(room);
+        let usual = mean(self.nodes.values().filter(|n| able(n)).filter_map(Node::mean_time));
         let able = self.nodes.values_mut().filter(|n| if any { room(n) } else { able(n) });
         take_turn(able.map(|n| {
-            let fresh = n.up_since.is_some_and(|u| self.now - u < self.cold.warm);
+            let fresh = n.up_since.is_some_and(|u| now - u < self.cold.warm);
             let managed = if fresh { self.cold.from } else { 1.0 } * n.cap;
-            (n, managed)
+            let weight = managed / n.mean_time().unwrap_or(usual).max(1e-3);
+            (n, weight)
         }))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -342,22 +342,10 @@
         self.out_rank[rank] -= 1;
     }
 
-    /// A time-out is of a lost leg if a later one was answered meanwhile, or else if the next answer is fast.
-    pub fn lost(&mut self, o: Outcome, passed: u64, fast: bool) -> bool {
-        match o {
-            Outcome::TimedOut => {
-                self.suspect = self.done <= passed;
-                !self.suspect
-            }
-            Outcome::Done => std::mem::take(&mut self.suspect) && fast,
-            _ => false,
-        }
-    }
-
     /// The mean over stream types of the median time, in seconds.
     pub fn mean_time(&self) -> Option<f64> {
-        let seen: Vec<f64> = self.latency.iter().filter_map(|h| h.at(0.5)).collect();
-        (!seen.is_empty()).then(|| seen.iter().sum::<f64>() / seen.len() as f64)
+        let seen = self.latency.iter().filter_map(|h| h.at(0.5));
+        seen.clone().next().map(|_| mean(seen))
     }
 
     pub fn halve(&mut self, at: f64) {
@@ -493,20 +481,26 @@
     }
 }
 
-/// Smooth weighted rotation: each gains its part of the weights, what is given over its usual time; the one
-/// that has most takes the turn. One not yet heard from counts like the mean of the others.
+/// Smooth weighted rotation: each gains its part of the weights; the one that has most takes the turn.
 pub fn take_turn<'a>(nodes: impl Iterator<Item = (&'a mut Node, f64)>) -> Option<ShardId> {
-    let mut nodes: Vec<_> = nodes.map(|(n, managed)| (n.mean_time(), n, managed)).collect();
-    let seen: Vec<f64> = nodes.iter().filter_map(|n| n.0).collect();
-    let mean = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
-    let weight = |time: Option<f64>, managed: f64| managed / time.unwrap_or(mean).max(1e-3);
-    let total: f64 = nodes.iter().map(|(time, _, managed)| weight(*time, *managed)).sum();
-    nodes.iter_mut().for_each(|(time, n, managed)| n.turn += weight(*time, *managed) / total);
-    let (_, n, _) = nodes.into_iter().max_by(|a, b| a.1.turn.total_cmp(&b.1.turn))?;
+    let mut nodes: Vec<_> = nodes.collect();
+    let total: f64 = nodes.iter().map(|(_, weight)| weight).sum();
+    nodes.iter_mut().for_each(|(n, weight)| n.turn += *weight / total);
+    let (n, _) = nodes.into_iter().max_by(|a, b| a.0.turn.total_cmp(&b.0.turn))?;
     n.turn -= 1.0;
     Some(n.shard)
 }
 
+/// Zero of nothing.
+pub fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |a, v| (a.0 + v, a.1 + 1.0));
+    if count > 0.0 {
+        sum / count
+    } else {
+        0.0
+    }
+}
+
 /// Legs that got lost, against those answered, halved now and then.
 #[derive(Default)]
 pub struct Losses {
