--- a/src/policy.rs
+++ b/src/policy.rs
@@ -225,7 +225,7 @@
         if let Some(n) = self.nodes.get_mut(&node) {
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
-            // A timed-out leg got lost if a later one was answered meanwhile, or else the next answer is fast.
+            // A timed-out leg got lost if a later one was answered meanwhile, or else if the next is fast.
             let (out, done, fast) =
                 (o == Outcome::TimedOut, o == Outcome::Done, took.secs() < CAP_TARGET * st.slo.secs());
             lost = if out { n.done > passed } else { done && fast && n.suspect };
