Simpler where it was read again: a node's restart, late queues, the limit guard

A restart takes the new node instead of seven arguments of its own; the late queue drops what no longer waits the way the other queues do, without a loop; the limit guard asks once whether a transfer is above the part; an if within an if has a name, and the comment on losses says what the function does.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -221,18 +221,17 @@
         if let Some(t) = turn.and_then(|k| self.turns.get_mut(&k)) {
             t.leg_back(o.may_be_running().then_some(now + self.settle));
         }
-        let mut lost = false;
+        let (done, mut lost) = (o == Outcome::Done, false);
         if let Some(n) = self.nodes.get_mut(&node) {
             n.leg_back(st.rank, units);
             self.due.insert(n.shard);
             // A timed-out leg got lost if a later one was answered meanwhile, or else if the next is fast.
-            let (out, done, fast) =
-                (o == Outcome::TimedOut, o == Outcome::Done, took.secs() < CAP_TARGET * st.slo.secs());
+            let (out, fast) = (o == Outcome::TimedOut, took.secs() < CAP_TARGET * st.slo.secs());
             lost = if out { n.done > passed } else { done && fast && n.suspect };
             n.suspect = if out { n.done <= passed } else { n.suspect && !done };
             let judges = st.slo.secs() <= TIGHT * self.tightest.secs();
             n.answered(now, o, took.secs(), st.slo.secs(), judges, [held, hurried, n.done == seen]);
-            if o == Outcome::Done {
+            if done {
                 n.done += 1;
                 n.latency[stream.0 as usize].add(took.secs());
                 self.everywhere[stream.0 as usize].add(took.secs());
@@ -247,8 +246,8 @@
                 self.log(line);
             }
         }
-        self.loss(lost, o == Outcome::Done);
-        if ended || o == Outcome::Done {
+        self.loss(lost, done);
+        if ended || done {
             self.finish(id);
         } else if self.xfers.get(&id).is_some_and(|x| !x.ended && x.out.is_empty()) {
             self.go_on(id);
@@ -256,7 +255,7 @@
         forget(&mut self.xfers, &mut self.turns, id, self.now);
     }
 
-    /// A leg that times out though its node has long answered later ones got lost; a slow node's did not.
+    /// Whether legs get lost, by how many were against those answered.
     fn loss(&mut self, lost: bool, done: bool) {
         if let Some(losing) = self.lost.note(lost, done, LOST_HALVE, LOST_LEAST, LOST_PART) {
             let (l, mode) = (&self.lost, if losing { "get lost" } else { "arrive" });
@@ -304,7 +303,7 @@
             n.state = e.state;
             if e.up_since > n.up_since {
                 // What was learned of its earlier life no longer holds; what is out still is.
-                n.restart(now, e, fresh.clone(), caps, CREDIT_START, first);
+                n.restart(new());
                 let age = e.up_since.map_or(0.0, |u| (now - u).secs());
                 self.log(format!("node {} cold: up for {age:.1}s", e.node.0));
             }
@@ -339,7 +338,8 @@
                 // Its client's time was up before the SLO time, or nothing at all was answered meanwhile: too
                 // slow, or drowned. Against hurried clients, and against many hosts that each send one leg a
                 // time-out and so keep a full queue full. Else it may have got lost, and others arrive.
-                if if took < slo { hurried } else { silent } {
+                let too_slow = if took < slo { hurried } else { silent };
+                if too_slow {
                     self.cut(now, took, CAP_CUT);
                 }
             }
@@ -502,19 +502,14 @@
     /// A late transfer earns little: it leaves only when nothing in time can.
     fn late_one(&mut self, shard: ShardId, node: Option<NodeId>) -> Option<XferId> {
         let n = node?;
-        loop {
-            let sh = self.shards.get_mut(&shard)?;
-            let id = *sh.late.front()?;
-            if !waits_at(&self.xfers, id, shard) {
-                sh.late.pop_front();
-                continue;
-            }
-            let none_in_time = sh.queues.is_empty();
-            let rank = self.streams[self.xfers[&id].stream.0 as usize].rank;
-            let room = self.nodes[&n].room(self.now, (rank, LOWER_PART), false, self.mean_units);
-            let idle = none_in_time && room.is_ok();
-            return Some(id).filter(|_| idle && self.may_leave(id, n).is_ok());
-        }
+        let sh = self.shards.get_mut(&shard)?;
+        while sh.late.pop_front_if(|id| !waits_at(&self.xfers, *id, shard)).is_some() {}
+        let id = *sh.late.front()?;
+        let none_in_time = sh.queues.is_empty();
+        let rank = self.streams[self.xfers[&id].stream.0 as usize].rank;
+        let room = self.nodes[&n].room(self.now, (rank, LOWER_PART), false, self.mean_units);
+        let idle = none_in_time && room.is_ok();
+        Some(id).filter(|_| idle && self.may_leave(id, n).is_ok())
     }
 
     /// Whether the guards let this transfer leave for this node now; if not, when to look again.
@@ -547,8 +542,11 @@
                 let (rate, burst) = (plan.limit * Self::part(v, now), plan.burst / v.hosts);
                 let wait = v.limit.wait(now, rate, burst, x.units);
                 // More than the part ever holds must not pass: every host would overdraw the one store.
-                if wait > Span::ZERO || x.units > burst {
-                    return Err(if x.units > burst { x.expiry } else { now + wait });
+                if x.units > burst {
+                    return Err(x.expiry);
+                }
+                if wait > Span::ZERO {
+                    return Err(now + wait);
                 }
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -355,19 +355,11 @@
         }
     }
 
-    /// Forgets an earlier life, but for what is still out.
-    pub fn restart(
-        &mut self,
-        now: Instant,
-        e: &NodeEntry,
-        seen: Vec<Histogram>,
-        caps: (f64, f64),
-        credit: f64,
-        first: (f64, f64),
-    ) {
+    /// Becomes the new one, but for what is still out.
+    pub fn restart(&mut self, new: Node) {
         let (out, done, out_units) = (self.out, self.done, self.out_units);
         let out_rank = std::mem::take(&mut self.out_rank);
-        *self = Node { out, done, out_units, out_rank, ..Node::new(now, e, 0, seen, caps, credit, first) };
+        *self = Node { out, done, out_units, out_rank, ..new };
     }
 
     pub fn new(
