--- /dev/null
+++ b/crates/cli/src/log.rs
@@ -0,0 +1,19 @@
+//! Log lines, on standard error.
+
+use tracing_subscriber::EnvFilter;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    Text,
+    Json,
+}
+
+pub fn start(form: Form, level: &str) -> Result<(), String> {
+    let filter = EnvFilter::try_new(level).map_err(|e| format!("--log-level {level:?}: {e}"))?;
+    let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match form {
+        Form::Text => lines.with_target(false).init(),
+        Form::Json => lines.json().init(),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,78 @@
+//! The `tackmast` command: it reads arguments, settings and signals, and hands on.
+
+mod log;
+mod serve;
+mod stand;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A storage gateway: it schedules a host's reads and writes over a shared pool of storage nodes.
+#[derive(Parser)]
+#[command(version, arg_required_else_help = true)]
+struct Arguments {
+    /// How log lines are written, on standard error.
+    #[arg(long, global = true, value_enum, default_value_t = log::Form::Text)]
+    log: log::Form,
+    /// Which lines are written, as for the environment variable RUST_LOG: error, warn, info, debug, or by
+    /// module, such as tackmast_host=debug.
+    #[arg(long, global = true, default_value = "info")]
+    log_level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a host: clients reach its volumes over iSCSI, and it reaches the nodes.
+    ///
+    /// Ends on SIGTERM or SIGINT. Prints `listening ADDRESS` on standard output once it serves clients.
+    Serve {
+        /// Settings of the host, in HCL.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Runs a stand-in for a storage node, on loopback, that keeps its bytes in memory.
+    ///
+    /// Each line of standard input is a fault to set, such as `slow 5`, `silent on`, `restart 2` or `well`.
+    Node(stand::NodeArguments),
+    /// Runs a stand-in for the node list, on loopback.
+    ///
+    /// Each line of standard input changes the list: `put ADDRESS SHARD ZONE`, `drain ADDRESS`, `gone ADDRESS`,
+    /// `late SECONDS`, `fails on|off`, `silent on|off`, `reset`.
+    NodeList {
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: std::net::SocketAddr,
+    },
+    /// Looks at settings without running anything.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+}
+
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Checks a host's settings: prints what they hold, or one error with file, line, value and what was expected.
+    Check { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Err(e) = log::start(arguments.log, &arguments.log_level) {
+        eprintln!("tackmast: {e}");
+        return ExitCode::from(2);
+    }
+    let outcome = match arguments.command {
+        Command::Serve { config } => serve::serve(&config),
+        Command::Node(a) => stand::node(&a),
+        Command::NodeList { listen } => stand::node_list(listen),
+        Command::Config(ConfigCommand::Check { file }) => serve::check(&file),
+    };
+    match outcome {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("tackmast: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,63 @@
+//! `tackmast serve` and `tackmast config check`.
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+use tackmast_config::HostSettings;
+use tackmast_host::Host;
+
+pub fn serve(config: &Path) -> Result<ExitCode, String> {
+    let settings = HostSettings::read(config).map_err(|e| e.to_string())?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let host = Host::start(settings).map_err(|e| e.to_string())?;
+    // Whoever started this reads the address here, as port 0 takes any that is free.
+    println!("listening {}", host.address);
+    _ = std::io::stdout().flush();
+    let signal = signals.forever().next();
+    if let Some(s) = host.status() {
+        let c = s.counters;
+        tracing::info!(
+            signal,
+            taken = c.taken,
+            done = c.done,
+            deferred = c.deferred,
+            abandoned = c.abandoned,
+            legs = c.legs,
+            further_legs = c.further_legs,
+            core_seconds = s.core_seconds,
+            "host ends"
+        );
+    }
+    host.stop();
+    Ok(ExitCode::SUCCESS)
+}
+
+pub fn check(file: &Path) -> Result<ExitCode, String> {
+    let s = HostSettings::read(file).map_err(|e| e.to_string())?;
+    println!(
+        "{}: host {} of {}, listening on {}",
+        file.display(),
+        s.host.number,
+        s.host.hosts,
+        s.host.listen
+    );
+    for p in &s.plans {
+        let limit =
+            if p.limit > 0.0 { format!("limit {} burst {}", p.limit, p.burst) } else { "no limit".into() };
+        println!("plan {}: {limit}, reserve {}, weight {}", p.name, p.reserve, p.weight);
+    }
+    for st in &s.streams {
+        let (slo, expiry) = (st.slo.secs() * 1e3, st.expiry.secs() * 1e3);
+        println!("stream {}: SLO time {slo} ms, expiry {expiry} ms, {:?}", st.name, st.effect);
+    }
+    for v in &s.volumes {
+        let plan = &s.plans[v.plan as usize].name;
+        println!(
+            "volume {}: LUN {}, plan {plan}, {} blocks on shards {:?}",
+            v.name, v.lun, v.blocks, v.shards
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/stand.rs
@@ -0,0 +1,130 @@
+//! `tackmast node` and `tackmast node-list`: stand-ins as processes of their own.
+
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tackmast_standins::list::{ListFault, NodeList};
+use tackmast_standins::model::Nature;
+use tackmast_standins::node::{Fault, Marks, Node, NodeSettings};
+use tackmast_trace::Recorder;
+use tackmast_wire::list::{Entry, State};
+
+#[derive(clap::Args)]
+pub struct NodeArguments {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[arg(long, default_value_t = 0)]
+    shard: u32,
+    #[arg(long, default_value_t = 0)]
+    zone: u32,
+    /// Cores that serve at the same time, and their speed.
+    #[arg(long, default_value_t = 2)]
+    cores: u32,
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Milliseconds of one core's work in a unit, at speed 1.
+    #[arg(long, default_value_t = 1.0)]
+    unit_ms: f64,
+    /// Transfers that may wait.
+    #[arg(long, default_value_t = 256)]
+    queue: usize,
+    /// Starts cold: at a fifth of its capacity, warm after five seconds.
+    #[arg(long)]
+    cold: bool,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+pub fn loopback_only(address: SocketAddr) -> Result<(), String> {
+    match address.ip().is_loopback() {
+        true => Ok(()),
+        false => Err(format!("--listen {address}; expected a loopback address: stand-ins serve no other")),
+    }
+}
+
+pub fn node(a: &NodeArguments) -> Result<ExitCode, String> {
+    loopback_only(a.listen)?;
+    let nature = Nature {
+        cores: a.cores.max(1),
+        speed: a.speed,
+        unit_s: a.unit_ms / 1e3,
+        queue: a.queue,
+        ..Nature::default()
+    };
+    let node = Node::start(NodeSettings {
+        address: a.listen,
+        shard: a.shard,
+        zone: a.zone,
+        nature,
+        seed: a.seed,
+        most_data: 8 << 20,
+        report_every: Duration::from_millis(100),
+        marks: Arc::new(Marks::default()),
+        window_s: 5.0,
+        cold: a.cold,
+        recorder: Recorder::default(),
+    })
+    .map_err(|e| format!("--listen {}: {e}", a.listen))?;
+    println!("listening {}", node.address());
+    _ = std::io::stdout().flush();
+    for line in std::io::stdin().lock().lines().map_while(Result::ok).filter(|l| !l.trim().is_empty()) {
+        match line.parse::<Fault>() {
+            Ok(fault) => node.set(&fault),
+            Err(e) => eprintln!("{e}"),
+        }
+    }
+    node.stop();
+    Ok(ExitCode::SUCCESS)
+}
+
+pub fn node_list(listen: SocketAddr) -> Result<ExitCode, String> {
+    loopback_only(listen)?;
+    let list = NodeList::start(listen, Recorder::default()).map_err(|e| format!("--listen {listen}: {e}"))?;
+    println!("listening {}", list.address);
+    _ = std::io::stdout().flush();
+    for line in std::io::stdin().lock().lines().map_while(Result::ok).filter(|l| !l.trim().is_empty()) {
+        if let Err(e) = list_line(&list, &line) {
+            eprintln!("{e}");
+        }
+    }
+    list.stop();
+    Ok(ExitCode::SUCCESS)
+}
+
+fn list_line(list: &NodeList, line: &str) -> Result<(), String> {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    let wrong = || {
+        format!(
+            "{line:?}; expected put ADDRESS SHARD ZONE, drain ADDRESS, gone ADDRESS, late SECONDS, \
+             fails on|off, silent on|off or reset"
+        )
+    };
+    let number = |i: usize| words.get(i).and_then(|w| w.parse::<u32>().ok()).ok_or_else(wrong);
+    let switch = || match words.get(1) {
+        Some(&"on") => Ok(true),
+        Some(&"off") => Ok(false),
+        _ => Err(wrong()),
+    };
+    match words.as_slice() {
+        ["put", address, ..] => list.put([Entry {
+            address: (*address).to_owned(),
+            state: State::Ready,
+            shard: number(2)?,
+            zone: number(3)?,
+            started_us: 0,
+        }]),
+        ["drain", address] => list.state(address, State::Draining),
+        ["gone", address] => list.state(address, State::Gone),
+        ["late", seconds] => {
+            let s = seconds.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
+            list.set(&ListFault::Late(s.ok_or_else(wrong)?));
+        }
+        ["fails", _] => list.set(&ListFault::Fails(switch()?)),
+        ["silent", _] => list.set(&ListFault::Silent(switch()?)),
+        ["reset"] => list.set(&ListFault::Reset),
+        _ => return Err(wrong()),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/host.rs
@@ -0,0 +1,501 @@
+//! The host's settings: blocks, defaults and checks.
+
+use crate::document::{ConfigError, Document, Place};
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use tackmast::interface::{Effect, Group, Span};
+
+/// `host { ... }`
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Identity {
+    /// This host's number, from 0, and how many hosts share the pool.
+    pub number: u32,
+    pub hosts: u32,
+    /// Where clients connect, and where the node list answers.
+    pub listen: SocketAddr,
+    pub node_list: SocketAddr,
+    #[serde(default = "target_name")]
+    pub target: String,
+    /// How coarse the host's clock is taken to be.
+    #[serde(default = "two")]
+    pub tick_ms: f64,
+    /// Time kept for an answer's way back to its client: it leaves the host that much before the expiry.
+    #[serde(default = "twenty")]
+    pub answer_lead_ms: f64,
+    /// Seed of chance; without one it is drawn at the start.
+    pub seed: Option<u64>,
+    /// File that keeps the node list as last held, for the next start.
+    pub saved_list: Option<std::path::PathBuf>,
+}
+
+fn target_name() -> String {
+    "iqn.2026-12.org.tackmast:pool".to_owned()
+}
+fn two() -> f64 {
+    2.0
+}
+fn twenty() -> f64 {
+    20.0
+}
+fn one() -> f64 {
+    1.0
+}
+
+/// `bounds { ... }`: what each table and queue may hold. What is over a bound is deferred.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    pub sessions: usize,
+    /// Commands open in one session.
+    pub window: u32,
+    /// Transfers and bytes open at the host.
+    pub transfers: usize,
+    pub bytes: usize,
+    /// Bytes of one command, of immediate data, of one data unit, and of one solicited sequence.
+    pub command_bytes: u32,
+    pub first_burst: u32,
+    pub segment: u32,
+    pub burst: u32,
+    /// Parts of one command, where it touches several extents.
+    pub parts: usize,
+    pub nodes: usize,
+    /// Connections to one node, and legs waiting to be written on each.
+    pub links: usize,
+    pub link_queue: usize,
+    pub connect_ms: u64,
+    /// A client that takes no byte, and a link that stays silent, for so long is given up.
+    pub client_stall_ms: u64,
+    pub link_silence_ms: u64,
+    /// Time a client may take to log in.
+    pub login_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            sessions: 4096,
+            window: 128,
+            transfers: 65_536,
+            bytes: 1 << 30,
+            command_bytes: 1 << 20,
+            first_burst: 65_536,
+            segment: 262_144,
+            burst: 262_144,
+            parts: 16,
+            nodes: 4096,
+            links: 2,
+            link_queue: 256,
+            connect_ms: 250,
+            client_stall_ms: 10_000,
+            link_silence_ms: 5_000,
+            login_ms: 5_000,
+        }
+    }
+}
+
+/// `units { ... }`: how a transfer's size counts.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Units {
+    /// Bytes in a unit; a transfer counts at least one.
+    pub bytes: u32,
+    /// Units of the largest transfer; a longer command counts that many.
+    pub most: f64,
+    /// Units of a transfer in the mean.
+    pub mean: f64,
+}
+
+/// `further_legs { ... }`: rule 6.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FurtherLegs {
+    pub free: f64,
+    pub share: f64,
+    pub window_s: f64,
+}
+
+/// `cold_nodes { ... }`: rule 4, as `Scheduler::cold_nodes` takes it.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ColdNodes {
+    pub safe_units: f64,
+    pub from: f64,
+    pub warm_s: f64,
+    pub window_s: f64,
+    pub multiple: f64,
+}
+
+/// `load { ... }`: what is true of the nodes and clients of this pool.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// Legs of one transfer.
+    pub most_legs: u32,
+    /// Longest time a client can be asked to stay away; 0: it can't be asked.
+    pub longest_wait_s: f64,
+    /// Rest of an order key after a leg that may still be running.
+    pub settle_s: f64,
+    /// Whether nodes tell of service through other hosts.
+    pub tells_others: bool,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load { most_legs: 4, longest_wait_s: 2.0, settle_s: 1.0, tells_others: true }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum EffectName {
+    Repeatable,
+    Keyed,
+    Unrepeatable,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize, PartialEq, Default)]
+#[serde(rename_all = "lowercase")]
+enum GroupName {
+    #[default]
+    All,
+    Zone,
+    Shard,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StreamBlock {
+    slo_ms: f64,
+    expiry_ms: f64,
+    effect: EffectName,
+    #[serde(default)]
+    group: GroupName,
+    window_s: Option<f64>,
+    #[serde(default)]
+    in_order: bool,
+    order_blocks: Option<u64>,
+}
+
+/// `stream "name" { ... }`
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stream {
+    pub name: String,
+    pub slo: Span,
+    /// Time to answer in, where the client negotiates none.
+    pub expiry: Span,
+    pub effect: Effect,
+    pub in_order: bool,
+    /// Blocks that share one order key; none: an extent.
+    pub order_blocks: Option<u64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PlanBlock {
+    #[serde(default)]
+    limit: f64,
+    #[serde(default)]
+    burst: f64,
+    #[serde(default)]
+    slack: f64,
+    #[serde(default)]
+    reserve: f64,
+    #[serde(default = "one")]
+    weight: f64,
+}
+
+/// `plan "name" { ... }`: units a second, and units.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    pub name: String,
+    pub limit: f64,
+    pub burst: f64,
+    pub slack: f64,
+    pub reserve: f64,
+    pub weight: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VolumeBlock {
+    lun: u32,
+    plan: String,
+    blocks: u64,
+    #[serde(default = "block_bytes")]
+    block_bytes: u32,
+    extent_blocks: u64,
+    shards: Vec<u32>,
+    hosts: u32,
+    reads: String,
+    writes: String,
+    large_reads: Option<String>,
+    large_from_blocks: Option<u32>,
+}
+
+fn block_bytes() -> u32 {
+    512
+}
+
+/// `volume "name" { ... }`; streams and plans by their index.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Volume {
+    pub name: String,
+    pub lun: u32,
+    pub plan: u32,
+    pub blocks: u64,
+    pub block_bytes: u32,
+    pub extent_blocks: u64,
+    /// The shard of extent `n` is entry `n` modulo their number.
+    pub shards: Vec<u32>,
+    /// Hosts through which its transfers come.
+    pub hosts: u32,
+    pub reads: u32,
+    pub writes: u32,
+    /// Reads of so many blocks or more are of this stream type.
+    pub large: Option<(u32, u32)>,
+}
+
+/// All settings of one host.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostSettings {
+    pub host: Identity,
+    pub bounds: Bounds,
+    pub units: Units,
+    pub load: Load,
+    pub further_legs: Option<FurtherLegs>,
+    pub cold: Option<ColdNodes>,
+    pub streams: Vec<Stream>,
+    pub plans: Vec<Plan>,
+    pub volumes: Vec<Volume>,
+}
+
+const BLOCKS: [&str; 9] =
+    ["host", "bounds", "units", "load", "further_legs", "cold_nodes", "stream", "plan", "volume"];
+/// Longest span that a setting may name: a day.
+const DAY_S: f64 = 86_400.0;
+
+impl HostSettings {
+    pub fn read(path: &std::path::Path) -> Result<HostSettings, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError {
+            file: file.clone(),
+            line: 0,
+            place: "file".into(),
+            problem: format!("{e}; expected a file of settings"),
+        })?;
+        HostSettings::parse(&file, &text)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<HostSettings, ConfigError> {
+        let doc = Document::parse(file, text)?;
+        doc.only(&BLOCKS)?;
+        let host: Identity = doc.block("host")?;
+        let bounds: Bounds = doc.block_or("bounds")?;
+        let units: Units = doc.block("units")?;
+        let load: Load = doc.block_or("load")?;
+        let further_legs: Option<FurtherLegs> = doc.blocks("further_legs", false)?.pop().map(|f| f.value);
+        let cold: Option<ColdNodes> = doc.blocks("cold_nodes", false)?.pop().map(|f| f.value);
+
+        let within = |kind: &str, label: &str, name: &str, value: f64, low: f64, high: f64| match value {
+            v if v.is_finite() && v >= low && v <= high => Ok(v),
+            v => Err(doc.wrong(&Place { kind, label, name }, v, &format!("a number from {low} to {high}"))),
+        };
+        let whole = |kind, name, value: u64, low: u64, high: u64| match (low..=high).contains(&value) {
+            true => Ok(()),
+            false => {
+                let expected = format!("a whole number from {low} to {high}");
+                Err(doc.wrong(&Place { kind, label: "", name }, value, &expected))
+            }
+        };
+        whole("host", "hosts", u64::from(host.hosts), 1, 100_000)?;
+        whole("host", "number", u64::from(host.number), 0, u64::from(host.hosts) - 1)?;
+        within("host", "", "tick_ms", host.tick_ms, 0.1, 1000.0)?;
+        within("host", "", "answer_lead_ms", host.answer_lead_ms, 0.0, 60_000.0)?;
+        for (name, value, low, high) in [
+            ("sessions", bounds.sessions as u64, 1, 60_000),
+            ("window", u64::from(bounds.window), 1, 65_536),
+            ("transfers", bounds.transfers as u64, 1, 1 << 24),
+            ("bytes", bounds.bytes as u64, 1 << 16, 1 << 40),
+            ("command_bytes", u64::from(bounds.command_bytes), 512, 8 << 20),
+            ("first_burst", u64::from(bounds.first_burst), 512, 8 << 20),
+            ("segment", u64::from(bounds.segment), 512, 8 << 20),
+            ("burst", u64::from(bounds.burst), 512, 8 << 20),
+            ("parts", bounds.parts as u64, 1, 1024),
+            ("nodes", bounds.nodes as u64, 1, 1 << 20),
+            ("links", bounds.links as u64, 1, 64),
+            ("link_queue", bounds.link_queue as u64, 1, 65_536),
+            ("connect_ms", bounds.connect_ms, 1, 60_000),
+            ("client_stall_ms", bounds.client_stall_ms, 10, 3_600_000),
+            ("link_silence_ms", bounds.link_silence_ms, 10, 3_600_000),
+            ("login_ms", bounds.login_ms, 10, 600_000),
+        ] {
+            whole("bounds", name, value, low, high)?;
+        }
+        if u64::from(bounds.first_burst) > u64::from(bounds.burst) {
+            let at = Place { kind: "bounds", label: "", name: "first_burst" };
+            return Err(doc.wrong(&at, bounds.first_burst, &format!("at most burst, {}", bounds.burst)));
+        }
+        whole("units", "bytes", u64::from(units.bytes), 1, 8 << 20)?;
+        within("units", "", "most", units.most, 1.0, 1e9)?;
+        within("units", "", "mean", units.mean, 1e-3, units.most)?;
+        whole("load", "most_legs", u64::from(load.most_legs), 1, 200)?;
+        within("load", "", "longest_wait_s", load.longest_wait_s, 0.0, DAY_S)?;
+        within("load", "", "settle_s", load.settle_s, 0.0, DAY_S)?;
+        if let Some(f) = &further_legs {
+            within("further_legs", "", "free", f.free, 0.0, 1e9)?;
+            within("further_legs", "", "share", f.share, 0.0, 1e3)?;
+            within("further_legs", "", "window_s", f.window_s, 0.05, DAY_S)?;
+        }
+        if let Some(c) = &cold {
+            within("cold_nodes", "", "safe_units", c.safe_units, 0.0, 1e12)?;
+            within("cold_nodes", "", "from", c.from, 0.001, 1.0)?;
+            within("cold_nodes", "", "warm_s", c.warm_s, 0.0, DAY_S)?;
+            within("cold_nodes", "", "window_s", c.window_s, 0.001, DAY_S)?;
+            within("cold_nodes", "", "multiple", c.multiple, 0.0, 1e6)?;
+        }
+
+        let mut streams = Vec::new();
+        for f in doc.blocks::<StreamBlock>("stream", true)? {
+            let (s, name) = (f.value, f.label);
+            within("stream", &name, "slo_ms", s.slo_ms, 0.1, DAY_S * 1e3)?;
+            within("stream", &name, "expiry_ms", s.expiry_ms, host.answer_lead_ms + 10.0, DAY_S * 1e3)?;
+            let window = within("stream", &name, "window_s", s.window_s.unwrap_or(0.0), 0.0, DAY_S)?;
+            let effect = match (s.effect, s.window_s) {
+                (EffectName::Repeatable, _) => Effect::Repeatable,
+                (EffectName::Unrepeatable, _) => Effect::Unrepeatable,
+                (EffectName::Keyed, Some(_)) => {
+                    let group = match s.group {
+                        GroupName::All => Group::All,
+                        GroupName::Zone => Group::Zone,
+                        GroupName::Shard => Group::Shard,
+                    };
+                    Effect::Keyed { group, window: Span::from_secs(window) }
+                }
+                (EffectName::Keyed, None) => {
+                    let at = Place { kind: "stream", label: &name, name: "window_s" };
+                    return Err(doc.wrong(&at, "missing", "the seconds for which nodes know a mark"));
+                }
+            };
+            if s.order_blocks == Some(0) {
+                let at = Place { kind: "stream", label: &name, name: "order_blocks" };
+                return Err(doc.wrong(&at, 0, "1 block or more"));
+            }
+            streams.push(Stream {
+                slo: Span::from_secs(s.slo_ms / 1e3),
+                expiry: Span::from_secs(s.expiry_ms / 1e3),
+                effect,
+                in_order: s.in_order,
+                order_blocks: s.order_blocks,
+                name,
+            });
+        }
+
+        let mut plans = Vec::new();
+        for f in doc.blocks::<PlanBlock>("plan", true)? {
+            let (p, name) = (f.value, f.label);
+            for (key, value) in
+                [("limit", p.limit), ("burst", p.burst), ("slack", p.slack), ("reserve", p.reserve)]
+            {
+                within("plan", &name, key, value, 0.0, 1e12)?;
+            }
+            within("plan", &name, "weight", p.weight, 1e-6, 1e6)?;
+            if p.limit > 0.0 && p.burst < units.most {
+                let at = Place { kind: "plan", label: &name, name: "burst" };
+                let expected = format!("at least the largest transfer, {} units, under a limit", units.most);
+                return Err(doc.wrong(&at, p.burst, &expected));
+            }
+            plans.push(Plan {
+                name,
+                limit: p.limit,
+                burst: p.burst,
+                slack: p.slack,
+                reserve: p.reserve,
+                weight: p.weight,
+            });
+        }
+
+        let mut volumes: Vec<Volume> = Vec::new();
+        let mut luns = BTreeSet::new();
+        for f in doc.blocks::<VolumeBlock>("volume", true)? {
+            let (v, name) = (f.value, f.label);
+            let wrong = |key: &'static str, found: String, expected: &str| {
+                doc.wrong(&Place { kind: "volume", label: &name, name: key }, found, expected)
+            };
+            let stream = |key: &'static str, wanted: &str| {
+                let at = streams.iter().position(|s| s.name == wanted);
+                at.map(|i| i as u32)
+                    .ok_or_else(|| wrong(key, format!("\"{wanted}\""), "the name of a stream block"))
+            };
+            if v.lun > 0x3fff || !luns.insert(v.lun) {
+                return Err(wrong("lun", v.lun.to_string(), "a number up to 16383 that no other volume has"));
+            }
+            if !v.block_bytes.is_power_of_two() || !(512..=65_536).contains(&v.block_bytes) {
+                return Err(wrong(
+                    "block_bytes",
+                    v.block_bytes.to_string(),
+                    "a power of two from 512 to 65536",
+                ));
+            }
+            if v.blocks == 0 || v.blocks.checked_mul(u64::from(v.block_bytes)).is_none_or(|b| b > 1 << 56) {
+                return Err(wrong("blocks", v.blocks.to_string(), "1 or more, and at most 2^56 bytes"));
+            }
+            if v.extent_blocks == 0 {
+                return Err(wrong("extent_blocks", "0".into(), "1 or more"));
+            }
+            if v.shards.is_empty() {
+                return Err(wrong("shards", "[]".into(), "the numbers of one shard or more"));
+            }
+            if v.hosts == 0 || v.hosts > host.hosts {
+                let expected = format!("1 to {}, the hosts of the pool", host.hosts);
+                return Err(wrong("hosts", v.hosts.to_string(), &expected));
+            }
+            let plan = plans.iter().position(|p: &Plan| p.name == v.plan);
+            let plan =
+                plan.ok_or_else(|| wrong("plan", format!("\"{}\"", v.plan), "the name of a plan block"))?;
+            // More than a host's part of the burst never passes, so the largest must fit into it.
+            let p = &plans[plan];
+            if p.limit > 0.0 && p.burst / f64::from(v.hosts) < units.most {
+                let found = format!("{} hosts share a burst of {}", v.hosts, p.burst);
+                return Err(wrong("hosts", found, &format!("{} units or more for each", units.most)));
+            }
+            let large = match (&v.large_reads, v.large_from_blocks) {
+                (None, None) => None,
+                (Some(name), Some(from)) => Some((from, stream("large_reads", name)?)),
+                _ => {
+                    return Err(wrong(
+                        "large_reads",
+                        "alone".into(),
+                        "large_reads and large_from_blocks together",
+                    ))
+                }
+            };
+            volumes.push(Volume {
+                lun: v.lun,
+                plan: plan as u32,
+                blocks: v.blocks,
+                block_bytes: v.block_bytes,
+                extent_blocks: v.extent_blocks,
+                shards: v.shards,
+                hosts: v.hosts,
+                reads: stream("reads", &v.reads)?,
+                writes: stream("writes", &v.writes)?,
+                large,
+                name,
+            });
+        }
+        for (kind, none) in
+            [("stream", streams.is_empty()), ("plan", plans.is_empty()), ("volume", volumes.is_empty())]
+        {
+            if none {
+                return Err(doc.wrong(
+                    &Place { kind, label: "", name: "" },
+                    "none",
+                    "one such block or more",
+                ));
+            }
+        }
+        Ok(HostSettings { host, bounds, units, load, further_legs, cold, streams, plans, volumes })
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,8 @@
+//! The settings of one host in HCL: how they are written, what is checked, and what holds where nothing is said.
+//! Nothing is decided here; the values are handed to the decision core part by part.
+
+pub mod document;
+mod host;
+
+pub use document::{ConfigError, Document};
+pub use host::{Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, Plan, Stream, Units, Volume};
--- /dev/null
+++ b/crates/host/src/clock.rs
@@ -0,0 +1,44 @@
+//! The host's time: monotonic, from its start. Wall time is read once, to place what others tell in wall time.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tackmast::interface::Instant;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: std::time::Instant,
+    start_unix: Duration,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: std::time::Instant::now(), start_unix }
+    }
+
+    pub fn now(&self) -> Instant {
+        Instant::from_secs(self.start.elapsed().as_secs_f64())
+    }
+
+    /// Microseconds of Unix time.
+    pub fn unix_us(&self, at: Instant) -> u64 {
+        let us = self.start_unix.as_micros() as i64 + (at.secs() * 1e6).round() as i64;
+        us.max(0) as u64
+    }
+
+    /// A time told in microseconds of Unix time; 0 is none.
+    pub fn of_unix(&self, us: u64) -> Option<Instant> {
+        let since = us as f64 / 1e6 - self.start_unix.as_secs_f64();
+        (us > 0).then_some(Instant::from_secs(since))
+    }
+
+    /// How long from now until then; zero if it is past.
+    pub fn until(&self, at: Instant) -> Duration {
+        Duration::from_secs_f64((at - self.now()).secs().max(0.0))
+    }
+}
--- /dev/null
+++ b/crates/host/src/core_thread.rs
@@ -0,0 +1,245 @@
+//! The one thread that owns the host core. It takes events, carries the core's outputs out, and never waits for
+//! a peer: what can't be handed on at once comes back to the core as what it is.
+
+use crate::links::Links;
+use crate::list::ToList;
+use crate::sessions::ToSession;
+use crate::{Clock, StartError};
+use bytes::Bytes;
+use crossbeam_channel::{Receiver, Sender, TryRecvError, TrySendError};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tackmast::interface::{Instant, ListKind, NodeId, NodeState, Outcome, Span};
+use tackmast_config::HostSettings;
+use tackmast_hostcore::{CommandRef, Core, Counters, LegBack, ListEntry, Output, Work};
+
+/// Events taken before the outputs they caused are carried out.
+const BATCH: usize = 256;
+const IDLE: Duration = Duration::from_secs(1);
+
+pub enum Event {
+    SessionOpen {
+        session: u32,
+        to: Sender<ToSession>,
+        close: Arc<std::net::TcpStream>,
+    },
+    Submit {
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: Work,
+        began: Instant,
+        asked: Option<Span>,
+    },
+    Abort {
+        from: CommandRef,
+    },
+    SessionGone {
+        session: u32,
+    },
+    LegBack(LegBack),
+    NodeUp {
+        node: NodeId,
+        up: Span,
+    },
+    /// `at` is when the list's bytes were read.
+    List {
+        at: Instant,
+        kind: ListKind,
+        from: u64,
+        to: u64,
+        entries: Vec<ListEntry>,
+    },
+    Status(Sender<Status>),
+    Stop,
+}
+
+/// What a host tells of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Status {
+    pub counters: Counters,
+    pub sessions: usize,
+    pub commands: usize,
+    pub transfers: usize,
+    pub legs: usize,
+    pub nodes: Vec<(String, NodeState)>,
+    /// Seconds that the core's thread has spent in the core, and in the decision module's part of it.
+    pub core_seconds: f64,
+}
+
+struct Loop {
+    core: Core,
+    settings: Arc<HostSettings>,
+    clock: Clock,
+    links: Links,
+    list: Sender<ToList>,
+    sessions: HashMap<u32, (Sender<ToSession>, Arc<std::net::TcpStream>)>,
+    last: Instant,
+    busy: Duration,
+}
+
+pub fn start(
+    core: Core,
+    settings: Arc<HostSettings>,
+    clock: Clock,
+    urgent: Receiver<Event>,
+    events: Receiver<Event>,
+    links: Links,
+    list: Sender<ToList>,
+) -> Result<JoinHandle<()>, StartError> {
+    let mut l = Loop {
+        core,
+        settings,
+        clock,
+        links,
+        list,
+        sessions: HashMap::new(),
+        last: clock.now(),
+        busy: Duration::ZERO,
+    };
+    // The core works on tables of any size, but its own stack use is small and bounded.
+    crate::thread("core".into(), move || l.run(&urgent, &events))
+}
+
+impl Loop {
+    fn run(&mut self, urgent: &Receiver<Event>, events: &Receiver<Event>) {
+        self.saved();
+        self.outputs();
+        loop {
+            let wait = self.core.next_wake().map_or(IDLE, |t| self.clock.until(t)).min(IDLE);
+            let first = crossbeam_channel::select! {
+                recv(urgent) -> e => e.ok(),
+                recv(events) -> e => e.ok(),
+                default(wait) => None,
+            };
+            let started = std::time::Instant::now();
+            self.last = self.clock.now().max(self.last);
+            if let Some(e) = first {
+                if !self.event(e) {
+                    return;
+                }
+            }
+            for _ in 0..BATCH {
+                // A list is looked at before all else: a drain counts from when its bytes were read.
+                let next = urgent.try_recv().or_else(|_| events.try_recv());
+                match next {
+                    Ok(e) => {
+                        if !self.event(e) {
+                            return;
+                        }
+                    }
+                    Err(TryRecvError::Empty) => break,
+                    Err(TryRecvError::Disconnected) => return,
+                }
+            }
+            self.core.tick(self.last);
+            self.outputs();
+            self.busy += started.elapsed();
+        }
+    }
+
+    /// The list that an earlier life of this host saved, perhaps out of date.
+    fn saved(&mut self) {
+        let Some(path) = &self.settings.host.saved_list else { return };
+        match crate::list::load(path, &self.clock) {
+            Ok(entries) => self.core.list_came(self.last, ListKind::Saved, 0, 0, &entries),
+            Err(e) => tracing::warn!("saved list: {e}"),
+        }
+    }
+
+    /// False: stop.
+    fn event(&mut self, e: Event) -> bool {
+        let now = self.last;
+        match e {
+            Event::SessionOpen { session, to, close } => _ = self.sessions.insert(session, (to, close)),
+            Event::Submit { from, lun, block, work, began, asked } => {
+                self.core.submit(now, from, lun, block, work, began, asked, None)
+            }
+            Event::Abort { from } => self.core.abort(now, from),
+            Event::SessionGone { session } => {
+                self.sessions.remove(&session);
+                self.core.session_gone(now, session);
+            }
+            Event::LegBack(back) => self.core.leg_back(now, back),
+            Event::NodeUp { node, up } => self.core.node_said_up(now, node, up),
+            Event::List { at, kind, from, to, entries } => {
+                self.core.list_came(at.max(now), kind, from, to, &entries);
+                let gone = |core: &Core, n: NodeId| {
+                    let state = core.nodes().entries().find(|(_, e)| e.node == n).map(|(_, e)| e.state);
+                    state == Some(NodeState::Gone) && !core.has_legs_at(n)
+                };
+                let core = &self.core;
+                self.links.drop_where(|n| gone(core, n));
+                if kind != ListKind::Failed && self.settings.host.saved_list.is_some() {
+                    let all = self.core.nodes().entries().filter(|(_, e)| e.state != NodeState::Gone);
+                    let keep = all.map(|(address, e)| ListEntry {
+                        address: address.to_owned(),
+                        state: e.state,
+                        zone: e.zone,
+                        shard: e.shard,
+                        up_since: e.up_since,
+                    });
+                    _ = self.list.try_send(ToList::Save(keep.collect()));
+                }
+            }
+            Event::Status(to) => {
+                let (commands, transfers, legs) = self.core.open();
+                let nodes = self.core.nodes().entries().map(|(a, e)| (a.to_owned(), e.state)).collect();
+                let status = Status {
+                    counters: self.core.counters,
+                    sessions: self.sessions.len(),
+                    commands,
+                    transfers,
+                    legs,
+                    nodes,
+                    core_seconds: self.busy.as_secs_f64(),
+                };
+                _ = to.try_send(status);
+            }
+            Event::Stop => {
+                for (_, close) in self.sessions.values() {
+                    _ = close.shutdown(std::net::Shutdown::Both);
+                }
+                return false;
+            }
+        }
+        true
+    }
+
+    fn outputs(&mut self) {
+        let now = self.last;
+        while let Some(o) = self.core.next_output(now) {
+            match o {
+                Output::Send(leg) => {
+                    let (node, id) = (leg.node, leg.leg);
+                    let address = self.core.nodes().address(node).map(str::to_owned);
+                    let sent = address.is_some_and(|a| self.links.send(node, &a, leg));
+                    if !sent {
+                        // The link's queue is full: the leg never left.
+                        let (waiting, elsewhere, data) = (None, None, Bytes::new());
+                        let back = LegBack { leg: id, outcome: Outcome::Refused, waiting, elsewhere, data };
+                        self.core.leg_back(now, back);
+                    }
+                }
+                Output::Cancel { node, leg } => self.links.cancel(node, leg),
+                Output::Answer { to, verdict } => {
+                    let Some((sender, close)) = self.sessions.get(&to.session) else { continue };
+                    let full = sender.try_send(ToSession::Answer { command: to.command, verdict });
+                    if let Err(TrySendError::Full(_)) = full {
+                        // It has room for all that its window allows, so its client broke the window.
+                        tracing::warn!(session = to.session, "answers pile up; the session is closed");
+                        _ = close.shutdown(std::net::Shutdown::Both);
+                    }
+                }
+                Output::FollowList { since } => _ = self.list.try_send(ToList::Follow { since }),
+                Output::FetchList => _ = self.list.try_send(ToList::Fetch),
+                Output::Mode { node, line } => {
+                    let node = node.and_then(|n| self.core.nodes().address(n)).unwrap_or("-");
+                    tracing::info!(host = self.settings.host.number, node, "{line}");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/links.rs
@@ -0,0 +1,336 @@
+//! Links to nodes: a bounded number of connections each, opened when a leg needs one, several legs on each.
+
+use crate::core_thread::Event;
+use crate::Clock;
+use bytes::{Bytes, BytesMut};
+use crossbeam_channel::{Receiver, Sender};
+use std::collections::{HashMap, HashSet};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant as Wall};
+use tackmast::interface::{NodeId, Outcome, Span};
+use tackmast_config::HostSettings;
+use tackmast_hostcore::{LegBack, LegId, LegWork, SendLeg};
+use tackmast_wire::node::{self, Frame, NodeOutcome, Origin};
+
+/// Bytes gathered for one write. What is gathered has been claimed and will leave, so it is little.
+const GATHER: usize = 16 << 10;
+
+enum ToLink {
+    Send(Box<SendLeg>),
+    Cancel(LegId),
+}
+
+pub struct Links {
+    settings: Arc<HostSettings>,
+    clock: Clock,
+    events: Sender<Event>,
+    life: u64,
+    nodes: HashMap<NodeId, Vec<Sender<ToLink>>>,
+}
+
+impl Links {
+    pub fn new(settings: Arc<HostSettings>, clock: Clock, events: Sender<Event>, life: u64) -> Self {
+        Links { settings, clock, events, life, nodes: HashMap::new() }
+    }
+
+    fn slot(&self, leg: LegId) -> usize {
+        (leg.0 >> 8) as usize % self.settings.bounds.links
+    }
+
+    /// Hands the leg to a link of its node; false: the link's queue is full, or it could not be opened.
+    pub fn send(&mut self, node: NodeId, address: &str, leg: Box<SendLeg>) -> bool {
+        let slot = self.slot(leg.leg);
+        if !self.nodes.contains_key(&node) {
+            let Some(links) = self.open(node, address) else { return false };
+            self.nodes.insert(node, links);
+        }
+        self.nodes.get(&node).is_some_and(|links| links[slot].try_send(ToLink::Send(leg)).is_ok())
+    }
+
+    pub fn cancel(&mut self, node: NodeId, leg: LegId) {
+        let slot = self.slot(leg);
+        if let Some(links) = self.nodes.get(&node) {
+            // Without room the node works on in vain; the leg has had its end here.
+            _ = links[slot].try_send(ToLink::Cancel(leg));
+        }
+    }
+
+    pub fn drop_where(&mut self, gone: impl Fn(NodeId) -> bool) {
+        self.nodes.retain(|n, _| !gone(*n));
+    }
+
+    fn open(&self, node: NodeId, address: &str) -> Option<Vec<Sender<ToLink>>> {
+        let Ok(parsed) = address.parse::<SocketAddr>() else {
+            tracing::warn!(node = address, "node address: {address}; expected an IP address and a port");
+            return None;
+        };
+        let mut links = Vec::new();
+        for slot in 0..self.settings.bounds.links {
+            let (to, from) = crossbeam_channel::bounded(self.settings.bounds.link_queue);
+            let link = Link {
+                node,
+                address: parsed,
+                settings: self.settings.clone(),
+                clock: self.clock,
+                events: self.events.clone(),
+                life: self.life,
+                ping: crossbeam_channel::bounded(1),
+                up: None,
+            };
+            let name = format!("link {} {slot}", node.0);
+            if let Err(e) = crate::thread(name, move || link.run(&from)) {
+                tracing::warn!(node = address, "{e}");
+                return None;
+            }
+            links.push(to);
+        }
+        Some(links)
+    }
+}
+
+/// Legs that were claimed and have no answer yet; none once the connection is broken.
+type Outstanding = Arc<Mutex<Option<HashSet<LegId>>>>;
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct Up {
+    stream: TcpStream,
+    out: Outstanding,
+}
+
+struct Link {
+    node: NodeId,
+    address: SocketAddr,
+    settings: Arc<HostSettings>,
+    clock: Clock,
+    events: Sender<Event>,
+    life: u64,
+    /// By this the reader asks for a ping.
+    ping: (Sender<()>, Receiver<()>),
+    up: Option<Up>,
+}
+
+fn back(events: &Sender<Event>, leg: LegId, outcome: Outcome) {
+    let back = LegBack { leg, outcome, waiting: None, elsewhere: None, data: Bytes::new() };
+    _ = events.send(Event::LegBack(back));
+}
+
+/// The connection is of no use any more: all that was claimed may have run.
+fn break_off(stream: &TcpStream, out: &Outstanding, events: &Sender<Event>) {
+    _ = stream.shutdown(Shutdown::Both);
+    let legs = lock(out).take();
+    for leg in legs.into_iter().flatten() {
+        back(events, leg, Outcome::Reset);
+    }
+}
+
+impl Link {
+    fn run(mut self, queue: &Receiver<ToLink>) {
+        let pings = self.ping.1.clone();
+        loop {
+            let first = crossbeam_channel::select! {
+                recv(queue) -> m => match m {
+                    Ok(m) => Some(m),
+                    // The node is gone and nothing is out: the reader sees that no writer is left.
+                    Err(_) => return,
+                },
+                recv(pings) -> _ => None,
+            };
+            let mut bytes = BytesMut::new();
+            if first.is_none() {
+                Frame::Ping { number: 0 }.encode(&mut bytes);
+            }
+            let mut next = first;
+            while let Some(message) = next {
+                self.gather(message, &mut bytes);
+                next = if bytes.len() < GATHER { queue.try_recv().ok() } else { None };
+            }
+            let Some(up) = &mut self.up else { continue };
+            if !bytes.is_empty() {
+                if let Err(e) = up.stream.write_all(&bytes) {
+                    tracing::debug!(node = %self.address, "link write: {e}");
+                    break_off(&up.stream, &up.out, &self.events);
+                    self.up = None;
+                }
+            }
+        }
+    }
+
+    fn gather(&mut self, message: ToLink, bytes: &mut BytesMut) {
+        match message {
+            ToLink::Send(leg) => {
+                if self.up.as_ref().is_some_and(|up| lock(&up.out).is_none()) {
+                    self.up = None;
+                    bytes.clear();
+                }
+                if self.up.is_none() {
+                    match self.connect() {
+                        Ok(up) => self.up = Some(up),
+                        Err(e) => {
+                            tracing::debug!(node = %self.address, "link: {e}");
+                            // It provably never ran, unless the core has given it up before.
+                            if leg.ticket.withdraw() {
+                                back(&self.events, leg.leg, Outcome::Refused);
+                            }
+                            return;
+                        }
+                    }
+                }
+                let Some(up) = &self.up else { return };
+                if !leg.ticket.claim() {
+                    return;
+                }
+                match lock(&up.out).as_mut() {
+                    Some(out) => _ = out.insert(leg.leg),
+                    // Broken since it was looked at: claimed, but no byte of it has left.
+                    None => return back(&self.events, leg.leg, Outcome::Refused),
+                }
+                self.frame(*leg).encode(bytes);
+            }
+            ToLink::Cancel(leg) => {
+                let known = self.up.as_ref().and_then(|up| lock(&up.out).as_mut().map(|o| o.contains(&leg)));
+                if known == Some(true) {
+                    Frame::Cancel { leg: leg.0 }.encode(bytes);
+                }
+            }
+        }
+    }
+
+    fn frame(&self, leg: SendLeg) -> Frame {
+        let left = (leg.until - self.clock.now()).secs().max(0.0);
+        Frame::Send(node::SendLeg {
+            leg: leg.leg.0,
+            xfer: leg.xfer,
+            leg_no: leg.leg_no,
+            origin: Origin { session: leg.from.session, command: leg.from.command, part: leg.part },
+            left_us: (left * 1e6).min(f64::from(u32::MAX)) as u32,
+            mark: leg.mark,
+            key: leg.key,
+            volume: leg.volume,
+            offset: leg.offset,
+            units: leg.units as f32,
+            work: match leg.work {
+                LegWork::Read { length } => node::Work::Read { length },
+                LegWork::Write { data } => node::Work::Write { data },
+            },
+        })
+    }
+
+    fn connect(&self) -> Result<Up, String> {
+        let b = &self.settings.bounds;
+        let patience = Duration::from_millis(b.connect_ms);
+        let silence = Duration::from_millis(b.link_silence_ms);
+        let until = Wall::now() + patience;
+        let mut stream =
+            TcpStream::connect_timeout(&self.address, patience).map_err(|e| format!("connect: {e}"))?;
+        let set = stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(silence)));
+        set.map_err(|e| format!("socket: {e}"))?;
+        let hello =
+            Frame::HostHello { version: node::VERSION, host: self.settings.host.number, life: self.life };
+        stream.write_all(&hello.to_bytes()).map_err(|e| format!("hello: {e}"))?;
+        let mut frames = node::frames(b.command_bytes as usize);
+        let mut buffer = [0; 4096];
+        let up_us = loop {
+            let left = until.saturating_duration_since(Wall::now());
+            if left.is_zero() {
+                return Err(format!("no hello in {} ms", b.connect_ms));
+            }
+            stream.set_read_timeout(Some(left)).map_err(|e| format!("socket: {e}"))?;
+            let n = match stream.read(&mut buffer) {
+                Ok(0) => return Err("closed before the hello".into()),
+                Ok(n) => n,
+                Err(e) => return Err(format!("hello: {e}")),
+            };
+            frames.push(&buffer[..n]);
+            match node::next(&mut frames) {
+                Ok(Some(Frame::NodeHello { version, up_us, .. })) => {
+                    node::agree(version).map_err(|e| e.to_string())?;
+                    break up_us;
+                }
+                Ok(Some(other)) => return Err(format!("{other:?} came first; expected a hello")),
+                Ok(None) => {}
+                Err(e) => return Err(e.to_string()),
+            }
+        };
+        _ = self.events.send(Event::NodeUp { node: self.node, up: Span::from_secs(up_us as f64 / 1e6) });
+        let out: Outstanding = Arc::new(Mutex::new(Some(HashSet::new())));
+        let reading = stream.try_clone().map_err(|e| format!("socket: {e}"))?;
+        reading.set_read_timeout(Some(silence)).map_err(|e| format!("socket: {e}"))?;
+        let (their_out, events, pings) = (out.clone(), self.events.clone(), self.ping.0.clone());
+        let name = format!("answers {}", self.node.0);
+        let reader = move || read(reading, frames, &their_out, &events, &pings);
+        crate::thread(name, reader).map_err(|e| e.to_string())?;
+        Ok(Up { stream, out })
+    }
+}
+
+/// Reads answers until the connection ends.
+fn read(
+    mut stream: TcpStream,
+    mut frames: tackmast_wire::reader::Frames,
+    out: &Outstanding,
+    events: &Sender<Event>,
+    pings: &Sender<()>,
+) {
+    let mut buffer = vec![0; 64 << 10];
+    let mut asked = false;
+    'link: loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(n) => frames.push(&buffer[..n]),
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                // Half-open peers look like slow ones: a node that owes answers and does not even answer a
+                // ping in the same time again is cut off.
+                let owes = lock(out).as_ref().is_some_and(|o| !o.is_empty());
+                if owes && asked {
+                    tracing::debug!("link: silent while legs are out; broken off");
+                    break;
+                }
+                asked = owes && pings.try_send(()).is_ok();
+                if !owes && Arc::strong_count(out) == 1 {
+                    break; // the writer has ended
+                }
+                continue;
+            }
+            Err(_) => break,
+        }
+        asked = false;
+        loop {
+            let answer = match node::next(&mut frames) {
+                Ok(Some(Frame::Answer(a))) => a,
+                Ok(Some(Frame::Pong { .. })) => continue,
+                Ok(Some(other)) => {
+                    tracing::warn!("link: {other:?}; expected an answer");
+                    break 'link;
+                }
+                Ok(None) => break,
+                Err(e) => {
+                    tracing::warn!("link: {e}");
+                    break 'link;
+                }
+            };
+            let leg = LegId(answer.leg);
+            if !lock(out).as_mut().is_some_and(|o| o.remove(&leg)) {
+                tracing::debug!(leg = leg.0, "link: an answer to no leg that is out");
+                continue;
+            }
+            let outcome = match answer.outcome {
+                NodeOutcome::Done => Outcome::Done,
+                NodeOutcome::Error => Outcome::Error,
+                NodeOutcome::Full => Outcome::Full,
+                NodeOutcome::NotHere => Outcome::Skipped,
+            };
+            let (waiting, elsewhere) = (Some(answer.waiting), Some(f64::from(answer.elsewhere)));
+            let back = LegBack { leg, outcome, waiting, elsewhere, data: answer.data };
+            if events.send(Event::LegBack(back)).is_err() {
+                break 'link;
+            }
+        }
+    }
+    break_off(&stream, out, events);
+}
--- /dev/null
+++ b/crates/hostcore/src/combine.rs
@@ -0,0 +1,108 @@
+//! One answer for a command of several parts. Parts are transfers of their own to the decision module; their
+//! client is owed one final answer, as early as it is certain.
+
+use tackmast::interface::{Effect, Group, Span};
+
+/// How far one part has come. `ran` tells whether a leg of it may have had an effect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PartEnd {
+    Open { ran: bool },
+    Done,
+    Deferred { ran: bool, come_back: Option<Span> },
+    Abandoned,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Combined {
+    Done,
+    Deferred { come_back: Option<Span> },
+    Abandoned,
+}
+
+/// Whether running a command again after a part of it ran does no harm. A keyed one is safe in all its nodes
+/// only where the client itself carries the mark: marks of this host differ between a client's tries, so its
+/// next try would run a second time.
+fn again_is_safe(effect: Effect, client_marks: bool) -> bool {
+    match effect {
+        Effect::Repeatable => true,
+        Effect::Keyed { group: Group::All, .. } => client_marks,
+        Effect::Keyed { .. } | Effect::Unrepeatable => false,
+    }
+}
+
+/// The command's answer, if it is certain by now. An undone part settles it at once: a client that is told
+/// early can come back early. Deferred promises that a retry is safe, so one part that may have run makes it
+/// abandoned where the effect does not bear a second run.
+pub fn combine(effect: Effect, client_marks: bool, parts: &[PartEnd]) -> Option<Combined> {
+    let mut undone = false;
+    let mut come_back: Option<Span> = None;
+    for part in parts {
+        match part {
+            PartEnd::Abandoned => return Some(Combined::Abandoned),
+            PartEnd::Deferred { come_back: wait, .. } => {
+                undone = true;
+                come_back = come_back.max(*wait);
+            }
+            PartEnd::Open { .. } | PartEnd::Done => {}
+        }
+    }
+    if !undone {
+        return parts.iter().all(|p| *p == PartEnd::Done).then_some(Combined::Done);
+    }
+    let ran = parts.iter().any(|p| match p {
+        PartEnd::Open { ran } | PartEnd::Deferred { ran, .. } => *ran,
+        PartEnd::Done | PartEnd::Abandoned => true,
+    });
+    Some(match again_is_safe(effect, client_marks) || !ran {
+        true => Combined::Deferred { come_back },
+        false => Combined::Abandoned,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parts_make_one_answer() {
+        let s = Span::from_secs;
+        let keyed = |group| Effect::Keyed { group, window: s(3.0) };
+        let (re, un) = (Effect::Repeatable, Effect::Unrepeatable);
+        let (open, out) = (PartEnd::Open { ran: false }, PartEnd::Open { ran: true });
+        let late = |ran, wait: Option<f64>| PartEnd::Deferred { ran, come_back: wait.map(s) };
+        let deferred = |wait: Option<f64>| Some(Combined::Deferred { come_back: wait.map(s) });
+        let (done, abandoned) = (Some(Combined::Done), Some(Combined::Abandoned));
+        type Case<'a> = (&'a str, Effect, bool, &'a [PartEnd], Option<Combined>);
+        let cases: &[Case] = &[
+            ("all done", un, false, &[PartEnd::Done, PartEnd::Done], done),
+            ("one to come", re, false, &[PartEnd::Done, open], None),
+            ("one deferred settles it", re, false, &[open, late(false, Some(0.2))], deferred(Some(0.2))),
+            (
+                "the longest wait counts",
+                re,
+                false,
+                &[late(true, Some(0.2)), late(true, Some(0.5))],
+                deferred(Some(0.5)),
+            ),
+            ("no advice", re, false, &[late(true, None)], deferred(None)),
+            ("abandoned beats deferred", re, false, &[late(false, None), PartEnd::Abandoned], abandoned),
+            ("repeatable, one part done", re, false, &[PartEnd::Done, late(false, None)], deferred(None)),
+            ("unrepeatable, nothing ran", un, false, &[open, late(false, None)], deferred(None)),
+            ("unrepeatable, a leg is out", un, false, &[out, late(false, None)], abandoned),
+            ("unrepeatable, one part done", un, false, &[PartEnd::Done, late(false, None)], abandoned),
+            ("keyed, the client marks", keyed(Group::All), true, &[late(true, None)], deferred(None)),
+            ("keyed, only the host marks", keyed(Group::All), false, &[late(true, None)], abandoned),
+            (
+                "keyed, only the host marks, unseen",
+                keyed(Group::All),
+                false,
+                &[late(false, None)],
+                deferred(None),
+            ),
+            ("keyed in a zone", keyed(Group::Zone), true, &[PartEnd::Done, late(false, None)], abandoned),
+        ];
+        for (name, effect, marks, parts, expected) in cases {
+            assert_eq!(combine(*effect, *marks, parts), *expected, "{name}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/hostcore/src/core.rs
@@ -0,0 +1,670 @@
+//! The state machine: inputs, the tables, and the outputs.
+
+use crate::admission::Admission;
+use crate::combine::{combine, Combined, PartEnd};
+use crate::layout::{key_id, Layout, Part};
+use crate::nodes::{ListEntry, Nodes};
+use crate::ticket::Ticket;
+use bytes::{Bytes, BytesMut};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use tackmast::interface::*;
+use tackmast::policy::Scheduler;
+use tackmast_config::{HostSettings, Stream};
+
+/// A list's time of a start and the node's own word differ by the way of a message; less is no news.
+const START_NEWS: f64 = 0.5; // seconds
+
+/// A client's command: its session at this host, and its number within that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CommandRef {
+    pub session: u32,
+    pub command: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Work {
+    Read { blocks: u32 },
+    Write { data: Bytes },
+}
+
+/// What a leg asks of its node; lengths in bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LegWork {
+    Read { length: u32 },
+    Write { data: Bytes },
+}
+
+/// The one final answer to a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Done { data: Bytes },
+    Deferred { come_back: Option<Span> },
+    Abandoned,
+}
+
+/// A leg among all that this host has out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LegId(pub u64);
+
+#[derive(Clone, Debug)]
+pub struct SendLeg {
+    pub node: NodeId,
+    pub leg: LegId,
+    /// The transfer's number in this life of the host, the leg's within the transfer.
+    pub xfer: u64,
+    pub leg_no: u8,
+    pub from: CommandRef,
+    pub part: u16,
+    /// When nobody waits for its answer any more.
+    pub until: Instant,
+    pub mark: u128,
+    /// Order key; 0 where the stream type asks for no order.
+    pub key: u64,
+    pub volume: u32,
+    /// Bytes from the volume's start.
+    pub offset: u64,
+    pub units: f64,
+    pub work: LegWork,
+    pub ticket: Ticket,
+}
+
+#[derive(Clone, Debug)]
+pub enum Output {
+    Send(Box<SendLeg>),
+    /// Nobody waits for this leg any more.
+    Cancel {
+        node: NodeId,
+        leg: LegId,
+    },
+    Answer {
+        to: CommandRef,
+        verdict: Verdict,
+    },
+    /// Follow the node list from the version that is known.
+    FollowList {
+        since: u64,
+    },
+    /// Ask for the complete list: a change is missing.
+    FetchList,
+    /// A change of mode, with its figures, and the node it is about.
+    Mode {
+        node: Option<NodeId>,
+        line: String,
+    },
+}
+
+/// What came back for a leg.
+#[derive(Clone, Debug)]
+pub struct LegBack {
+    pub leg: LegId,
+    pub outcome: Outcome,
+    /// Transfers waiting at the node, and units it served for the volume through other hosts, where it told.
+    pub waiting: Option<u32>,
+    pub elsewhere: Option<f64>,
+    pub data: Bytes,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    pub taken: u64,
+    pub over_bound: u64,
+    pub done: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
+    pub left: u64,
+    pub legs: u64,
+    pub further_legs: u64,
+    pub timed_out: u64,
+    pub withdrawn: u64,
+    pub strays: u64,
+    pub short_answers: u64,
+    pub nodes_over_bound: u64,
+}
+
+struct Out {
+    no: u32,
+    node: NodeId,
+    sent: Instant,
+    until: Instant,
+    ticket: Ticket,
+}
+
+struct Xfer {
+    serial: u64,
+    from: CommandRef,
+    part: u16,
+    spec: Part,
+    volume: usize,
+    stream: usize,
+    data: Option<Bytes>,
+    expiry: Instant,
+    legs: u32,
+    out: Vec<Out>,
+    /// Whether a leg may have had an effect; those that are out count by their ticket.
+    ran: bool,
+    answered: bool,
+}
+
+impl Xfer {
+    fn may_have_run(&self) -> bool {
+        self.ran || self.out.iter().any(|o| o.ticket.is_claimed())
+    }
+}
+
+struct Command {
+    parts: Vec<(XferId, Option<PartEnd>, Bytes)>,
+    stream: usize,
+    marked: bool,
+    bytes: usize,
+    write: bool,
+}
+
+pub struct Core {
+    scheduler: Scheduler,
+    layout: Layout,
+    streams: Vec<Stream>,
+    tells: bool,
+    lead: Span,
+    life: u64,
+    nodes: Nodes,
+    admission: Admission,
+    commands: HashMap<CommandRef, Command>,
+    sessions: HashMap<u32, BTreeSet<u32>>, // open commands
+    xfers: HashMap<XferId, Xfer>,
+    serial: u64,
+    at_node: HashMap<NodeId, BTreeSet<(XferId, u32)>>, // legs out
+    until: BTreeSet<(Instant, XferId, u32)>,           // the same, by the end of their time
+    list_version: u64,
+    outputs: VecDeque<Output>,
+    pub counters: Counters,
+}
+
+impl Core {
+    /// `life` differs between all lives of all hosts; `seed` is for chance in decisions.
+    pub fn new(now: Instant, s: &HostSettings, seed: u64, life: u64) -> Self {
+        let tick = Span::from_secs(s.host.tick_ms / 1e3);
+        let longest = Span::from_secs(s.load.longest_wait_s);
+        let mut scheduler = Scheduler::new(now, seed, s.host.hosts, tick, s.units.mean);
+        for st in &s.streams {
+            scheduler.stream(st.slo, st.effect, st.in_order);
+        }
+        for p in &s.plans {
+            scheduler.plan(p.limit, p.burst, p.slack, p.reserve, p.weight);
+        }
+        scheduler.leg_limits(s.load.most_legs, longest, Span::from_secs(s.load.settle_s));
+        if let Some(f) = &s.further_legs {
+            scheduler.further_leg_budget(f.free, f.share, Span::from_secs(f.window_s));
+        }
+        if let Some(c) = &s.cold {
+            let (warm, window) = (Span::from_secs(c.warm_s), Span::from_secs(c.window_s));
+            scheduler.cold_nodes(c.safe_units, c.from, warm, window, c.multiple);
+        }
+        scheduler.list_must_be_asked();
+        Core {
+            scheduler,
+            layout: Layout::new(s),
+            streams: s.streams.clone(),
+            tells: s.load.tells_others,
+            lead: Span::from_secs(s.host.answer_lead_ms / 1e3),
+            life,
+            nodes: Nodes::new(s.bounds.nodes),
+            admission: Admission::new(now, s.bounds.transfers, s.bounds.bytes, longest),
+            commands: HashMap::new(),
+            sessions: HashMap::new(),
+            xfers: HashMap::new(),
+            serial: 0,
+            at_node: HashMap::new(),
+            until: BTreeSet::new(),
+            list_version: 0,
+            outputs: VecDeque::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    pub fn nodes(&self) -> &Nodes {
+        &self.nodes
+    }
+
+    /// Whether this host has a leg out at the node.
+    pub fn has_legs_at(&self, node: NodeId) -> bool {
+        self.at_node.contains_key(&node)
+    }
+
+    /// Commands without an answer, transfers that are kept, and legs out.
+    pub fn open(&self) -> (usize, usize, usize) {
+        (self.commands.len(), self.xfers.len(), self.until.len())
+    }
+}
+
+/// Inputs.
+impl Core {
+    /// A client's command, owed one answer. `began` is when its first byte came; `asked` the time its client
+    /// waits, where that was negotiated; `mark` the client's own mark against repeats. The caller has checked
+    /// that the volume exists and holds the blocks.
+    #[allow(clippy::too_many_arguments)] // one decoded field, one argument
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: Work,
+        began: Instant,
+        asked: Option<Span>,
+        mark: Option<u128>,
+    ) {
+        self.counters.taken += 1;
+        let Some(volume) = self.layout.volume_of(lun) else {
+            return self.refuse(from, None);
+        };
+        let v = self.layout.volume(volume);
+        let block_bytes = v.block_bytes as usize;
+        let (write, blocks) = match &work {
+            Work::Read { blocks } => (false, *blocks),
+            Work::Write { data } => (true, (data.len() / block_bytes) as u32),
+        };
+        let (plan, hosts, name) = (PlanId(v.plan), v.hosts, VolumeId(volume as u32));
+        let stream = self.layout.stream(volume, write, blocks);
+        let expiry = began + asked.unwrap_or(self.streams[stream].expiry) - self.lead;
+        let parts = self.layout.parts(volume, stream, block, blocks);
+        if expiry <= now || parts.is_empty() || self.commands.contains_key(&from) {
+            return self.refuse(from, None);
+        }
+        let bytes = blocks as usize * block_bytes;
+        // A full table answers at once with when to come back; nothing is dropped in silence.
+        if let Err(wait) = self.admission.enter(now, parts.len(), bytes) {
+            self.counters.over_bound += 1;
+            return self.refuse(from, Some(wait));
+        }
+        let data = match work {
+            Work::Write { data } => Some(data),
+            Work::Read { .. } => None,
+        };
+        let ids: Vec<XferId> = parts.iter().map(|_| self.new_id()).collect();
+        let open = ids.iter().map(|id| (*id, None, Bytes::new())).collect();
+        let command = Command { parts: open, stream, marked: mark.is_some(), bytes, write };
+        self.commands.insert(from, command);
+        self.sessions.entry(from.session).or_default().insert(from.command);
+        let mut taken = 0;
+        for (i, (id, spec)) in ids.iter().zip(&parts).enumerate() {
+            let n = spec.blocks as usize * block_bytes;
+            let part_data = data.as_ref().map(|d| d.slice(taken..taken + n));
+            taken += n;
+            let serial = self.serial - (ids.len() - 1 - i) as u64;
+            let x = Xfer {
+                serial,
+                from,
+                part: i as u16,
+                spec: *spec,
+                volume,
+                stream,
+                data: part_data,
+                expiry,
+                legs: 0,
+                out: Vec::new(),
+                ran: false,
+                answered: false,
+            };
+            self.xfers.insert(*id, x);
+            self.scheduler.transfer_arrived(
+                now,
+                *id,
+                StreamId(stream as u32),
+                plan,
+                Some(key_id(spec.key)),
+                expiry - now,
+                name,
+                spec.units,
+                Some(spec.shard),
+                hosts,
+            );
+        }
+    }
+
+    /// The next number that no open transfer has. Answered ones keep theirs until their last leg is back.
+    fn new_id(&mut self) -> XferId {
+        loop {
+            self.serial += 1;
+            let id = XferId(self.serial as u32);
+            if !self.xfers.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    fn refuse(&mut self, to: CommandRef, come_back: Option<Span>) {
+        self.counters.deferred += 1;
+        self.outputs.push_back(Output::Answer { to, verdict: Verdict::Deferred { come_back } });
+    }
+
+    /// The client has taken the command back, or was told that it is over; no answer is wanted.
+    pub fn abort(&mut self, now: Instant, from: CommandRef) {
+        if let Some(c) = self.commands.remove(&from) {
+            self.counters.left += 1;
+            self.forget_command(now, from, &c);
+            for (id, _, _) in c.parts {
+                self.let_go(now, id);
+            }
+        }
+    }
+
+    pub fn session_gone(&mut self, now: Instant, session: u32) {
+        for command in self.sessions.remove(&session).unwrap_or_default() {
+            self.abort(now, CommandRef { session, command });
+        }
+    }
+
+    /// A leg came back from its link. One that is not known any more had its end before.
+    pub fn leg_back(&mut self, now: Instant, back: LegBack) {
+        let (id, no) = (XferId((back.leg.0 >> 8) as u32), (back.leg.0 & 0xff) as u32);
+        let known = self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no));
+        let Some(node) = known.map(|o| o.node) else {
+            self.counters.strays += 1;
+            return;
+        };
+        if let Some(waiting) = back.waiting {
+            self.scheduler.load_reported(now, node, f64::from(waiting));
+        }
+        self.leg_over(now, id, no, back.outcome, back.elsewhere, back.data);
+    }
+
+    /// A complete list, or changes that begin at version `from`. What is known is brought to version `to`.
+    pub fn list_came(&mut self, now: Instant, kind: ListKind, from: u64, to: u64, entries: &[ListEntry]) {
+        match kind {
+            ListKind::Failed => return self.scheduler.nodes_changed(now, kind, &[]),
+            // Changes after a gap are news all the same, above all drains; what else has changed is asked for.
+            ListKind::Changes if from != self.list_version => self.outputs.push_back(Output::FetchList),
+            _ => {}
+        }
+        self.list_version = to;
+        let mut known: Vec<NodeEntry> = Vec::with_capacity(entries.len());
+        for e in entries {
+            match self.nodes.note(e) {
+                Some(entry) => known.push(entry),
+                None => {
+                    self.counters.nodes_over_bound += 1;
+                    let line = format!("node {} not taken: the table of nodes is full", e.address);
+                    self.outputs.push_back(Output::Mode { node: None, line });
+                }
+            }
+        }
+        if kind != ListKind::Changes {
+            self.nodes.only(&known);
+        }
+        self.scheduler.nodes_changed(now, kind, &known);
+        let stopped: Vec<NodeId> = self
+            .nodes
+            .entries()
+            .filter(|(_, e)| e.state != NodeState::Ready)
+            .map(|(_, e)| e.node)
+            .filter(|n| self.at_node.contains_key(n))
+            .collect();
+        // What still waits on a link to a node that drains must not reach it after the grace.
+        for node in stopped {
+            self.withdraw_at(now, node);
+        }
+    }
+
+    fn withdraw_at(&mut self, now: Instant, node: NodeId) {
+        for (id, no) in self.at_node.get(&node).cloned().unwrap_or_default() {
+            let ticket =
+                self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no)).map(|o| &o.ticket);
+            if ticket.is_some_and(Ticket::withdraw) {
+                self.counters.withdrawn += 1;
+                self.leg_over(now, id, no, Outcome::Refused, None, Bytes::new());
+            }
+        }
+    }
+
+    /// A node said at the start of a link how long it has been up. Later than the list knows: it restarted.
+    pub fn node_said_up(&mut self, now: Instant, node: NodeId, up: Span) {
+        if let Some(entry) = self.nodes.started(node, now - up, START_NEWS) {
+            self.scheduler.nodes_changed(now, ListKind::Changes, &[entry]);
+        }
+    }
+
+    /// Time has passed: legs whose time is up end.
+    pub fn tick(&mut self, now: Instant) {
+        while let Some((_, id, no)) = self.until.first().copied().filter(|(t, _, _)| *t <= now) {
+            let leg = self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no));
+            let Some((node, unsent)) = leg.map(|o| (o.node, o.ticket.withdraw())) else {
+                self.until.pop_first();
+                continue;
+            };
+            let outcome = if unsent { Outcome::Refused } else { Outcome::TimedOut };
+            match unsent {
+                true => self.counters.withdrawn += 1,
+                false => {
+                    self.counters.timed_out += 1;
+                    self.outputs.push_back(Output::Cancel { node, leg: leg_id(id, no) });
+                }
+            }
+            self.leg_over(now, id, no, outcome, None, Bytes::new());
+        }
+    }
+}
+
+fn leg_id(id: XferId, no: u32) -> LegId {
+    LegId(u64::from(id.0) << 8 | u64::from(no & 0xff))
+}
+
+/// Outputs.
+impl Core {
+    /// What is to be done next; none: nothing more at this moment.
+    pub fn next_output(&mut self, now: Instant) -> Option<Output> {
+        loop {
+            if let Some(o) = self.outputs.pop_front() {
+                return Some(o);
+            }
+            let decision = self.scheduler.next_decision(now)?;
+            self.carry_out(now, decision);
+        }
+    }
+
+    /// When to come back if nothing else happens before.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let leg = self.until.first().map(|(t, _, _)| *t);
+        [leg, self.scheduler.next_wake()].into_iter().flatten().min()
+    }
+
+    fn carry_out(&mut self, now: Instant, decision: Decision) {
+        match decision {
+            Decision::Send { xfer, node, timeout } => self.send(now, xfer, node, timeout),
+            Decision::Defer { xfer, come_back } => {
+                let end = PartEnd::Deferred { ran: true, come_back };
+                self.part_over(now, xfer, end, Bytes::new());
+            }
+            Decision::Abandon { xfer } => self.part_over(now, xfer, PartEnd::Abandoned, Bytes::new()),
+            Decision::FollowList => self.outputs.push_back(Output::FollowList { since: self.list_version }),
+            Decision::Log(line) => {
+                // The module's lines name a node by its number, as their second word.
+                let mut words = line.split(' ');
+                let number = words.next().filter(|w| *w == "node").and_then(|_| words.next()?.parse().ok());
+                self.outputs.push_back(Output::Mode { node: number.map(NodeId), line });
+            }
+        }
+    }
+
+    fn send(&mut self, now: Instant, id: XferId, node: NodeId, timeout: Option<Span>) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let until = timeout.map_or(x.expiry, |t| x.expiry.min(now + t));
+        let (no, st, v) = (x.legs, &self.streams[x.stream], self.layout.volume(x.volume));
+        x.legs += 1;
+        let ticket = Ticket::default();
+        x.out.push(Out { no, node, sent: now, until, ticket: ticket.clone() });
+        self.counters.legs += 1;
+        self.counters.further_legs += u64::from(no > 0);
+        self.until.insert((until, id, no));
+        self.at_node.entry(node).or_default().insert((id, no));
+        let keyed = matches!(st.effect, Effect::Keyed { .. });
+        let leg = SendLeg {
+            node,
+            leg: leg_id(id, no),
+            xfer: x.serial,
+            leg_no: no.min(255) as u8,
+            from: x.from,
+            part: x.part,
+            until,
+            mark: if keyed { u128::from(self.life) << 64 | u128::from(x.serial) } else { 0 },
+            key: if st.in_order { x.spec.key } else { 0 },
+            volume: v.lun,
+            offset: x.spec.block * u64::from(v.block_bytes),
+            units: x.spec.units,
+            work: match &x.data {
+                Some(data) => LegWork::Write { data: data.clone() },
+                None => LegWork::Read { length: x.spec.blocks * v.block_bytes },
+            },
+            ticket,
+        };
+        self.outputs.push_back(Output::Send(Box::new(leg)));
+    }
+
+    /// Every leg has one end: its answer, its link's end, its time, or its withdrawal, whichever is first.
+    fn leg_over(
+        &mut self,
+        now: Instant,
+        id: XferId,
+        no: u32,
+        o: Outcome,
+        elsewhere: Option<f64>,
+        data: Bytes,
+    ) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let Some(i) = x.out.iter().position(|l| l.no == no) else { return };
+        let out = x.out.swap_remove(i);
+        self.until.remove(&(out.until, id, no));
+        if let Some(legs) = self.at_node.get_mut(&out.node) {
+            legs.remove(&(id, no));
+            if legs.is_empty() {
+                self.at_node.remove(&out.node);
+            }
+        }
+        let wanted = match x.data {
+            Some(_) => 0,
+            None => x.spec.blocks as usize * self.layout.volume(x.volume).block_bytes as usize,
+        };
+        let mut outcome = o;
+        if outcome == Outcome::Done && data.len() != wanted {
+            // Bytes that are not those asked for must not pass for them.
+            self.counters.short_answers += 1;
+            outcome = Outcome::Error;
+        }
+        x.ran |= outcome.may_have_run();
+        let (done, answered) = (outcome == Outcome::Done, x.answered);
+        let known = self.tells && elsewhere.is_some();
+        self.scheduler.service_reported(now, id, done, known, elsewhere.unwrap_or(0.0));
+        let (leg, took) = (LegNo(no), now - out.sent);
+        self.scheduler.leg_ended(now, id, leg, outcome, took, answered || done);
+        if done && !answered {
+            self.part_over(now, id, PartEnd::Done, data);
+        }
+        self.forget(id);
+    }
+
+    /// A transfer that was answered and has no leg out leaves the table.
+    fn forget(&mut self, id: XferId) {
+        if self.xfers.get(&id).is_some_and(|x| x.answered && x.out.is_empty()) {
+            self.xfers.remove(&id);
+        }
+    }
+
+    /// The command is over before this part of it: nothing new is sent for it, and its legs are called back.
+    fn let_go(&mut self, now: Instant, id: XferId) {
+        let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.answered) else { return };
+        x.answered = true;
+        self.scheduler.transfer_gone(now, id);
+        self.withdraw_legs(now, id);
+        self.call_back(id);
+        self.forget(id);
+    }
+
+    /// Legs of which no byte has left never will: they provably did not run.
+    fn withdraw_legs(&mut self, now: Instant, id: XferId) {
+        let out = self.xfers.get(&id).map_or(&[][..], |x| &x.out);
+        let unsent: Vec<u32> = out.iter().filter(|o| o.ticket.withdraw()).map(|o| o.no).collect();
+        for no in unsent {
+            self.counters.withdrawn += 1;
+            self.leg_over(now, id, no, Outcome::Refused, None, Bytes::new());
+        }
+    }
+
+    /// Nobody waits for the legs that are out: their nodes need not go on.
+    fn call_back(&mut self, id: XferId) {
+        for o in self.xfers.get(&id).map_or(&[][..], |x| &x.out) {
+            self.outputs.push_back(Output::Cancel { node: o.node, leg: leg_id(id, o.no) });
+        }
+    }
+
+    /// The transfer of one part has its end.
+    fn part_over(&mut self, now: Instant, id: XferId, mut end: PartEnd, data: Bytes) {
+        let Some((from, part)) = self.xfers.get(&id).filter(|x| !x.answered).map(|x| (x.from, x.part)) else {
+            return;
+        };
+        // An undone part settles the whole command. What is still unsent of it is taken back before it is
+        // judged whether any of it may have run: a leg that left in between would make the judgement false.
+        let ids: Vec<XferId> = match (end, self.commands.get(&from)) {
+            (PartEnd::Done, _) | (_, None) => vec![id],
+            (_, Some(c)) => c.parts.iter().map(|(id, _, _)| *id).collect(),
+        };
+        for id in ids {
+            self.withdraw_legs(now, id);
+        }
+        if let (PartEnd::Deferred { ran, .. }, Some(x)) = (&mut end, self.xfers.get_mut(&id)) {
+            *ran = x.may_have_run();
+        }
+        self.xfers.entry(id).and_modify(|x| x.answered = true);
+        self.call_back(id);
+        self.forget(id);
+        let Some(c) = self.commands.get_mut(&from) else { return };
+        if let Some(slot) = c.parts.get_mut(usize::from(part)) {
+            (slot.1, slot.2) = (Some(end), data);
+        }
+        let open = |id: &XferId| self.xfers.get(id).is_some_and(Xfer::may_have_run);
+        let ends: Vec<PartEnd> =
+            c.parts.iter().map(|(id, end, _)| end.unwrap_or(PartEnd::Open { ran: open(id) })).collect();
+        let Some(combined) = combine(self.streams[c.stream].effect, c.marked, &ends) else { return };
+        let Some(c) = self.commands.remove(&from) else { return };
+        self.forget_command(now, from, &c);
+        let verdict = match combined {
+            Combined::Done => {
+                self.counters.done += 1;
+                Verdict::Done { data: if c.write { Bytes::new() } else { joined(&c.parts, c.bytes) } }
+            }
+            Combined::Deferred { come_back } => {
+                self.counters.deferred += 1;
+                Verdict::Deferred { come_back }
+            }
+            Combined::Abandoned => {
+                self.counters.abandoned += 1;
+                Verdict::Abandoned
+            }
+        };
+        self.outputs.push_back(Output::Answer { to: from, verdict });
+        for (id, _, _) in c.parts {
+            self.let_go(now, id);
+        }
+    }
+
+    fn forget_command(&mut self, now: Instant, from: CommandRef, c: &Command) {
+        self.admission.leave(now, c.parts.len(), c.bytes);
+        if let Some(open) = self.sessions.get_mut(&from.session) {
+            open.remove(&from.command);
+            if open.is_empty() {
+                self.sessions.remove(&from.session);
+            }
+        }
+    }
+}
+
+fn joined(parts: &[(XferId, Option<PartEnd>, Bytes)], bytes: usize) -> Bytes {
+    if let [(_, _, only)] = parts {
+        return only.clone();
+    }
+    let mut all = BytesMut::with_capacity(bytes);
+    parts.iter().for_each(|(_, _, data)| all.extend_from_slice(data));
+    all.freeze()
+}
--- /dev/null
+++ b/crates/hostcore/src/layout.rs
@@ -0,0 +1,177 @@
+//! Where a command's blocks lie: which extents it touches, the shard and the order key of each, its stream type
+//! and its units.
+
+use tackmast::interface::{KeyId, ShardId};
+use tackmast_config::{HostSettings, Volume};
+
+/// The blocks of a command that lie in one extent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    pub block: u64,
+    pub blocks: u32,
+    pub shard: ShardId,
+    /// What is read or written, for the order of transfers; never 0.
+    pub key: u64,
+    pub units: f64,
+}
+
+#[derive(Debug)]
+pub struct Layout {
+    volumes: Vec<Volume>,
+    granules: Vec<Vec<Option<u64>>>, // by volume and stream: blocks that share an order key
+    unit_bytes: f64,
+    most_units: f64,
+    most_parts: usize,
+    command_bytes: u32,
+}
+
+impl Layout {
+    pub fn new(s: &HostSettings) -> Self {
+        let granules = s.volumes.iter().map(|v| {
+            let order = |st: &tackmast_config::Stream| {
+                st.in_order.then(|| st.order_blocks.unwrap_or(v.extent_blocks).min(v.extent_blocks))
+            };
+            s.streams.iter().map(order).collect()
+        });
+        Layout {
+            granules: granules.collect(),
+            volumes: s.volumes.clone(),
+            unit_bytes: f64::from(s.units.bytes),
+            most_units: s.units.most,
+            most_parts: s.bounds.parts,
+            command_bytes: s.bounds.command_bytes,
+        }
+    }
+
+    pub fn volume_of(&self, lun: u32) -> Option<usize> {
+        self.volumes.iter().position(|v| v.lun == lun)
+    }
+
+    pub fn volume(&self, volume: usize) -> &Volume {
+        &self.volumes[volume]
+    }
+
+    pub fn stream(&self, volume: usize, write: bool, blocks: u32) -> usize {
+        let v = &self.volumes[volume];
+        let read = v.large.filter(|(from, _)| blocks >= *from).map_or(v.reads, |(_, stream)| stream);
+        if write {
+            v.writes as usize
+        } else {
+            read as usize
+        }
+    }
+
+    /// Blocks of one command, at most: wherever it begins, it touches no more parts than the bound.
+    pub fn most_blocks(&self, volume: usize) -> u32 {
+        let v = &self.volumes[volume];
+        let least =
+            self.granules[volume].iter().flatten().copied().chain([v.extent_blocks]).min().unwrap_or(1);
+        let by_parts = least.saturating_mul(self.most_parts as u64 - 1).max(1);
+        let by_bytes = u64::from(self.command_bytes / v.block_bytes).max(1);
+        u32::try_from(by_parts.min(by_bytes)).unwrap_or(u32::MAX)
+    }
+
+    /// The parts of a command, in the order of its blocks.
+    pub fn parts(&self, volume: usize, stream: usize, block: u64, blocks: u32) -> Vec<Part> {
+        let v = &self.volumes[volume];
+        let granule = self.granules[volume][stream];
+        let mut parts = Vec::new();
+        let (mut at, end) = (block, block + u64::from(blocks));
+        while at < end {
+            let extent = at / v.extent_blocks;
+            let in_extent = at - extent * v.extent_blocks;
+            let mut until = (extent + 1) * v.extent_blocks;
+            if let Some(g) = granule {
+                until = until.min(extent * v.extent_blocks + (in_extent / g + 1) * g);
+            }
+            let until = until.min(end);
+            let blocks = (until - at) as u32;
+            // Ordered transfers share a key within a granule; others are known by where they begin.
+            let first = granule.map_or(at, |g| extent * v.extent_blocks + in_extent / g * g);
+            let bytes = f64::from(blocks) * f64::from(v.block_bytes);
+            parts.push(Part {
+                block: at,
+                blocks,
+                shard: ShardId(v.shards[(extent % v.shards.len() as u64) as usize]),
+                key: (u64::from(v.lun) + 1) << 48 ^ first,
+                units: (bytes / self.unit_bytes).ceil().clamp(1.0, self.most_units),
+            });
+            at = until;
+        }
+        parts
+    }
+}
+
+/// The decision module knows keys by small numbers. Two that share one wait for each other: that costs a little
+/// time, and never order; nothing has to be remembered for as long as a key rests.
+pub fn key_id(key: u64) -> KeyId {
+    let mixed = (key ^ key >> 32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    KeyId((mixed >> 32) as u32)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SETTINGS: &str = r#"
+        host { 
+          number = 0
+          hosts = 2
+          listen = "127.0.0.1:0"
+          node_list = "127.0.0.1:1" 
+        }
+        bounds { parts = 4 }
+        units { 
+          bytes = 4096 
+          most = 8 
+          mean = 2 
+        }
+        plan "basic" { }
+        stream "read" { 
+          slo_ms = 100 
+          expiry_ms = 1000 
+          effect = "repeatable" 
+        }
+        stream "log" { 
+          slo_ms = 100 
+          expiry_ms = 1000 
+          effect = "unrepeatable" 
+          in_order = true 
+          order_blocks = 40 
+        }
+        volume "v" { 
+          lun = 3 
+          plan = "basic" 
+          blocks = 1000 
+          extent_blocks = 100 
+          shards = [5, 7]
+          hosts = 1 
+          reads = "read" 
+          writes = "log" 
+          large_reads = "log"
+          large_from_blocks = 64 
+        }"#;
+
+    #[test]
+    fn commands_fall_into_parts_at_extents_and_order_granules() {
+        let l = Layout::new(&HostSettings::parse("test", SETTINGS).unwrap());
+        // Stream, first block, blocks; expected: first block, blocks, shard, units of each part.
+        type Case<'a> = (usize, u64, u32, &'a [(u64, u32, u32, f64)]);
+        let cases: &[Case] = &[
+            (0, 10, 8, &[(10, 8, 5, 1.0)]),
+            (0, 96, 8, &[(96, 4, 5, 1.0), (100, 4, 7, 1.0)]),
+            (0, 0, 250, &[(0, 100, 5, 8.0), (100, 100, 7, 8.0), (200, 50, 5, 7.0)]),
+            (1, 38, 4, &[(38, 2, 5, 1.0), (40, 2, 5, 1.0)]),
+            (1, 70, 40, &[(70, 10, 5, 2.0), (80, 20, 5, 3.0), (100, 10, 7, 2.0)]),
+        ];
+        for (stream, block, blocks, expected) in cases {
+            let parts = l.parts(0, *stream, *block, *blocks);
+            let found: Vec<_> = parts.iter().map(|p| (p.block, p.blocks, p.shard.0, p.units)).collect();
+            assert_eq!(&found, expected, "stream {stream} at {block} for {blocks}");
+        }
+        assert_eq!(l.parts(0, 1, 41, 1)[0].key, l.parts(0, 1, 79, 1)[0].key, "one granule, one key");
+        assert_ne!(l.parts(0, 1, 39, 1)[0].key, l.parts(0, 1, 40, 1)[0].key);
+        assert_eq!(l.most_blocks(0), 120, "three whole granules of 40 and two cut ones are four parts");
+        assert_eq!((l.stream(0, true, 64), l.stream(0, false, 63), l.stream(0, false, 64)), (1, 0, 1));
+    }
+}
--- /dev/null
+++ b/crates/hostcore/src/lib.rs
@@ -0,0 +1,17 @@
+//! One host without sockets, threads or clocks. Inputs tell it of client commands, legs, the node list and the
+//! time; outputs are pulled one by one. Which transfer leaves when, for which node, and what its client is told
+//! is decided by `tackmast::policy` alone; this package keeps what ties clients, transfers and legs together,
+//! and answers for commands of several parts. docs/host.md describes it.
+
+mod admission;
+mod combine;
+mod core;
+mod layout;
+mod nodes;
+mod ticket;
+
+pub use crate::core::{CommandRef, Core, Counters, LegBack, LegId, LegWork, Output, SendLeg, Verdict, Work};
+pub use combine::{combine, Combined, PartEnd};
+pub use layout::{Layout, Part};
+pub use nodes::ListEntry;
+pub use ticket::Ticket;
--- /dev/null
+++ b/crates/hostcore/src/ticket.rs
@@ -0,0 +1,46 @@
+//! Whether a leg has begun to leave the host. The link claims it just before the first byte is written; the core
+//! withdraws it when the leg is over. Only one of the two can succeed, so a withdrawn leg provably never ran:
+//! a leg that waits behind a node which takes no bytes must not go out after its transfer was answered, nor
+//! after the grace of a drain.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+
+const QUEUED: u8 = 0;
+const CLAIMED: u8 = 1;
+const WITHDRAWN: u8 = 2;
+
+#[derive(Clone, Debug, Default)]
+pub struct Ticket(Arc<AtomicU8>);
+
+impl Ticket {
+    fn swap(&self, to: u8) -> bool {
+        self.0.compare_exchange(QUEUED, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+    /// The link may write the leg now; false: it was withdrawn, or claimed before.
+    pub fn claim(&self) -> bool {
+        self.swap(CLAIMED)
+    }
+    /// True: no byte of the leg has left, and none will.
+    pub fn withdraw(&self) -> bool {
+        self.swap(WITHDRAWN)
+    }
+    pub fn is_claimed(&self) -> bool {
+        self.0.load(Ordering::Acquire) == CLAIMED
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_first_of_claim_and_withdraw_succeeds() {
+        for claim_first in [true, false] {
+            let t = Ticket::default();
+            assert!(if claim_first { t.claim() } else { t.withdraw() });
+            assert!(!t.claim() && !t.withdraw());
+            assert_eq!(t.is_claimed(), claim_first);
+        }
+    }
+}
--- /dev/null
+++ b/crates/target/src/negotiate.rs
@@ -0,0 +1,154 @@
+//! Text negotiation (RFC 7143, sections 6 and 13): what this target offers, and what comes out of it.
+
+use tackmast_wire::iscsi::Digests;
+
+/// Vendor key (section 6.2): milliseconds until the client gives a command up.
+pub const EXPIRY_KEY: &str = "X-org.tackmast.ExpiryMs";
+/// Vendor key: whether a deferral tells its time to come back in microseconds, in the response data.
+pub const DELAY_KEY: &str = "X-org.tackmast.ExactDelay";
+
+/// What the target takes, from the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    pub target_name: String,
+    /// Bytes of data in one unit towards the target, of immediate data, and of one solicited sequence.
+    pub most_segment: u32,
+    pub first_burst: u32,
+    pub most_burst: u32,
+    /// Commands that may be open in a session.
+    pub window: u32,
+    /// Bytes of one command.
+    pub most_command: u32,
+    /// Longest and shortest expiry a client may ask for.
+    pub expiry_ms: (u32, u32),
+}
+
+/// What a session has agreed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Agreed {
+    pub digests: Digests,
+    /// Bytes of data in one unit towards the client.
+    pub client_segment: u32,
+    pub immediate: bool,
+    pub first_burst: u32,
+    pub most_burst: u32,
+    pub expiry_ms: Option<u32>,
+    pub exact_delay: bool,
+    /// Protocol level of RFC 7144; from 2 on responses carry status qualifiers.
+    pub level: u32,
+    pub initiator: Option<String>,
+    pub target: Option<String>,
+    pub discovery: bool,
+}
+
+impl Agreed {
+    /// Values before any negotiation: the defaults of section 13.
+    pub fn new(offer: &Offer) -> Self {
+        Agreed {
+            digests: Digests::default(),
+            client_segment: 8192,
+            immediate: true,
+            first_burst: offer.first_burst.min(65536),
+            most_burst: offer.most_burst.min(262_144),
+            expiry_ms: None,
+            exact_delay: false,
+            level: 1,
+            initiator: None,
+            target: None,
+            discovery: false,
+        }
+    }
+
+    /// Takes one key of the client; gives the answer to it, if it wants one.
+    pub fn take(&mut self, offer: &Offer, key: &str, value: &str, login: bool) -> Option<String> {
+        let number = || value.parse::<u32>().ok();
+        let reject = || Some("Reject".to_owned());
+        let least = |ours: u32, slot: &mut u32, floor: u32| match number().filter(|n| *n >= floor) {
+            Some(n) => {
+                *slot = n.min(ours);
+                Some(slot.to_string())
+            }
+            None => reject(),
+        };
+        match key {
+            "InitiatorName" if login => {
+                self.initiator = Some(value.to_owned());
+                None
+            }
+            "TargetName" if login => {
+                self.target = Some(value.to_owned());
+                None
+            }
+            "InitiatorAlias" => None,
+            "SessionType" if login => match value {
+                "Normal" | "Discovery" => {
+                    self.discovery = value == "Discovery";
+                    None
+                }
+                _ => reject(),
+            },
+            "AuthMethod" if login => {
+                let offered = value.split(',').any(|v| v == "None");
+                Some(if offered { "None" } else { "Reject" }.to_owned())
+            }
+            "HeaderDigest" | "DataDigest" if login => {
+                let chosen = value.split(',').find(|v| ["CRC32C", "None"].contains(v));
+                let on = chosen == Some("CRC32C");
+                match key {
+                    "HeaderDigest" => self.digests.header = on,
+                    _ => self.digests.data = on,
+                }
+                chosen.map_or_else(reject, |c| Some(c.to_owned()))
+            }
+            "MaxRecvDataSegmentLength" => {
+                // Declared by each side for itself (section 13.12).
+                match number().filter(|n| (512..=0xff_ffff).contains(n)) {
+                    Some(n) => {
+                        self.client_segment = n;
+                        Some(offer.most_segment.to_string())
+                    }
+                    None => reject(),
+                }
+            }
+            "FirstBurstLength" if login => least(offer.first_burst, &mut self.first_burst, 512),
+            "MaxBurstLength" if login => least(offer.most_burst, &mut self.most_burst, 512),
+            "ImmediateData" if login => match value {
+                "Yes" | "No" => {
+                    self.immediate = value == "Yes";
+                    Some(value.to_owned())
+                }
+                _ => reject(),
+            },
+            // Only solicited data beyond the immediate, in order, over one connection, no recovery within it.
+            "InitialR2T" | "DataPDUInOrder" | "DataSequenceInOrder" if login => Some("Yes".to_owned()),
+            "MaxConnections" | "MaxOutstandingR2T" if login => Some("1".to_owned()),
+            "ErrorRecoveryLevel" | "DefaultTime2Retain" if login => Some("0".to_owned()),
+            "DefaultTime2Wait" if login => Some(number().map_or(2, |n| n.clamp(2, 3600)).to_string()),
+            "IFMarker" | "OFMarker" => Some("No".to_owned()),
+            "IFMarkInt" | "OFMarkInt" => Some("Irrelevant".to_owned()),
+            "iSCSIProtocolLevel" if login => match number() {
+                Some(n) => {
+                    self.level = n.clamp(1, 2);
+                    Some(self.level.to_string())
+                }
+                None => reject(),
+            },
+            DELAY_KEY => match value {
+                "Yes" | "No" => {
+                    self.exact_delay = value == "Yes";
+                    Some(value.to_owned())
+                }
+                _ => reject(),
+            },
+            EXPIRY_KEY => match number().filter(|n| *n > 0) {
+                Some(n) => {
+                    let ms = n.clamp(offer.expiry_ms.0, offer.expiry_ms.1.max(offer.expiry_ms.0));
+                    self.expiry_ms = Some(ms);
+                    Some(ms.to_string())
+                }
+                None => reject(),
+            },
+            _ => Some("NotUnderstood".to_owned()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/trace/src/lib.rs
@@ -0,0 +1,260 @@
+//! What clients, nodes and the node list saw on their sockets, as lines of JSON. Times are microseconds of Unix
+//! time, all taken on one machine. The first line tells what holds in this deployment.
+
+use serde::{Deserialize, Serialize};
+use std::io::{BufRead, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Events that a recorder keeps; a trace that lost some is no proof and says so.
+const MOST: usize = 8 << 20;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EffectKind {
+    Repeatable,
+    /// Nodes of all zones, of one zone, or of one shard drop a repeat of the same mark.
+    KeyedAll,
+    KeyedZone,
+    KeyedShard,
+    Unrepeatable,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StreamFacts {
+    pub name: String,
+    pub slo_us: u64,
+    pub effect: EffectKind,
+    /// For keyed ones: how long nodes know a mark.
+    pub window_us: u64,
+    pub in_order: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VolumeFacts {
+    pub volume: u32,
+    pub plan: String,
+    /// Units a second and units; 0: no limit.
+    pub limit: f64,
+    pub burst: f64,
+    pub slack: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Facts {
+    pub streams: Vec<StreamFacts>,
+    pub volumes: Vec<VolumeFacts>,
+    pub unit_bytes: u32,
+    pub most_units: f64,
+    /// Rule 1: time after the expiry within which an answer still counts.
+    pub answer_slack_us: u64,
+    /// Rule 3.
+    pub grace_us: u64,
+    /// Rule 4: multiple of the present capacity over the window.
+    pub cold_multiple: f64,
+    pub cold_window_us: u64,
+    pub cold_safe_units: f64,
+    /// Rule 5.
+    pub settle_us: u64,
+    /// Rule 6, where there is one: free legs, share of what was taken, window.
+    pub further: Option<(f64, f64, u64)>,
+    /// How far two ends of a socket may see the same thing apart.
+    pub skew_us: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerKind {
+    Done,
+    Deferred,
+    Abandoned,
+    /// The command itself was wrong; the host never took it.
+    Rejected,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LegEndKind {
+    Done,
+    Error,
+    /// Told that it never ran: the queue was full, or it was cancelled or out of time before it began.
+    NeverRan,
+}
+
+/// A leg as its node sees it: host, life of the host, transfer within that life, and number of the leg.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LegName {
+    pub host: u32,
+    pub life: u64,
+    pub xfer: u64,
+    pub leg: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "e", rename_all = "snake_case")]
+pub enum Event {
+    Facts(Facts),
+    /// Client side: a command's first byte leaves.
+    Submit {
+        host: u32,
+        session: u32,
+        command: u32,
+        volume: u32,
+        stream: u32,
+        write: bool,
+        offset: u64,
+        bytes: u64,
+        expiry_us: u64,
+    },
+    Answer {
+        host: u32,
+        session: u32,
+        command: u32,
+        kind: AnswerKind,
+        come_back_us: u64,
+    },
+    /// The client gave this one up, or its session ended from its side.
+    Left {
+        host: u32,
+        session: u32,
+        command: u32,
+    },
+    /// A host's process starts, or is ended; what it had taken is left to its clients.
+    HostUp {
+        host: u32,
+    },
+    HostDown {
+        host: u32,
+    },
+    /// Node side. Capacity in units a second when warm.
+    NodeUp {
+        node: String,
+        zone: u32,
+        shard: u32,
+        capacity: f64,
+        cold_from: f64,
+        warm_us: u64,
+    },
+    NodeDown {
+        node: String,
+    },
+    Leg {
+        node: String,
+        name: LegName,
+        session: u32,
+        command: u32,
+        part: u16,
+        volume: u32,
+        write: bool,
+        offset: u64,
+        bytes: u64,
+        units: f64,
+        key: u64,
+        mark: String,
+        left_us: u64,
+    },
+    LegEnd {
+        node: String,
+        name: LegName,
+        kind: LegEndKind,
+        /// Whether the work had its effect.
+        ran: bool,
+    },
+    /// The host called the leg back.
+    Cancel {
+        node: String,
+        name: LegName,
+    },
+    /// A connection of the host ended; its legs get no answer.
+    LinkDown {
+        node: String,
+        host: u32,
+        life: u64,
+        legs: Vec<LegName>,
+    },
+    /// List side: the host was sent this line.
+    Told {
+        host: u32,
+        node: String,
+        state: ListedState,
+        started_us: u64,
+    },
+    /// A trouble of the script begins or ends.
+    Trouble {
+        what: String,
+        on: bool,
+    },
+    /// Events were lost from here on.
+    Truncated,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub t: u64,
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+/// Microseconds of Unix time, monotonic within this process: lines of one trace must not run backwards.
+pub fn now_us() -> u64 {
+    static START: std::sync::OnceLock<(std::time::Instant, u64)> = std::sync::OnceLock::new();
+    let (start, unix) = START.get_or_init(|| {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (std::time::Instant::now(), unix.as_micros() as u64)
+    });
+    unix + start.elapsed().as_micros() as u64
+}
+
+/// Keeps what many threads saw.
+#[derive(Clone, Default)]
+pub struct Recorder(Arc<Mutex<Vec<Line>>>);
+
+impl Recorder {
+    pub fn note(&self, event: Event) {
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let t = now_us();
+        match lines.len() {
+            n if n < MOST => lines.push(Line { t, event }),
+            MOST => lines.push(Line { t, event: Event::Truncated }),
+            _ => {}
+        }
+    }
+
+    /// All lines so far, by time.
+    pub fn take(&self) -> Vec<Line> {
+        let mut lines = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        lines.sort_by_key(|l| l.t);
+        lines
+    }
+}
+
+pub fn write(lines: &[Line], mut to: impl Write) -> std::io::Result<()> {
+    for line in lines {
+        serde_json::to_writer(&mut to, line)?;
+        to.write_all(b"\n")?;
+    }
+    to.flush()
+}
+
+/// Reads a trace; an error names the line.
+pub fn read(from: impl BufRead) -> Result<Vec<Line>, String> {
+    let mut lines = Vec::new();
+    for (i, text) in from.lines().enumerate() {
+        let text = text.map_err(|e| format!("line {}: {e}", i + 1))?;
+        if text.trim().is_empty() {
+            continue;
+        }
+        let line = serde_json::from_str(&text)
+            .map_err(|e| format!("line {}: {e}; expected an event of a trace", i + 1))?;
+        lines.push(line);
+    }
+    Ok(lines)
+}
