--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -102,7 +102,7 @@
 pub struct Model {
     pub nature: Nature,
     pub ills: Ills,
-    started: Us,
+    started: Option<Us>, // none: long past
     chance: oorandom::Rand64,
     waiting: VecDeque<Job>,
     running: BTreeMap<(Us, u64), Task>, // by the end, and a number
@@ -126,7 +126,7 @@
     pub fn new(now: Us, nature: Nature, seed: u64, cold: bool) -> Model {
         let mut chance = oorandom::Rand64::new(u128::from(seed));
         let first = chance.rand_float();
-        let started = if cold { now } else { now.saturating_sub(us(nature.warm_s)) };
+        let started = cold.then_some(now);
         Model {
             next_pause: now + us(nature.pause_every_s * first),
             next_flush: now + us(nature.flush_s * first),
@@ -160,7 +160,8 @@
 
     fn warmth(&self, now: Us) -> f64 {
         let n = &self.nature;
-        let age = now.saturating_sub(self.started) as f64 / 1e6;
+        let Some(started) = self.started else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / 1e6;
         let part = if n.warm_s > 0.0 { (age / n.warm_s).min(1.0) } else { 1.0 };
         n.cold_from + (1.0 - n.cold_from) * part
     }
@@ -199,7 +200,7 @@
         while self.arrivals.front().is_some_and(|(t, _)| *t + window < now) {
             self.arrivals.pop_front();
         }
-        if now.saturating_sub(self.started) < us(self.nature.warm_s) {
+        if self.started.is_some_and(|t| now.saturating_sub(t) < us(self.nature.warm_s)) {
             let sent: f64 = self.arrivals.iter().map(|(_, u)| u).sum();
             let bears = self.nature.fall_multiple * self.capacity() * self.warmth(now) * self.nature.fall_s;
             self.fallen |= sent > bears;
