--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `tackmast` command: it reads arguments, settings and signals, and hands on.
 
+mod day;
 mod log;
 mod serve;
 mod stand;
@@ -45,6 +46,18 @@
         #[arg(long, default_value = "127.0.0.1:0")]
         listen: std::net::SocketAddr,
     },
+    /// Plays a scripted day on loopback: hosts, stand-ins, traffic and troubles.
+    ///
+    /// Prints the seed, service by plan and stream type, and each of the seven rules with what was checked. Exits
+    /// with 0 only if every rule held, every byte read was right, and the script's own expectations were met.
+    Day(day::DayArguments),
+    /// Judges the seven rules from a recorded trace alone; exits with 1 if one is broken.
+    Rules {
+        trace: PathBuf,
+        /// Prints the findings as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Looks at settings without running anything.
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -66,6 +79,8 @@
         Command::Serve { config } => serve::serve(&config),
         Command::Node(a) => stand::node(&a),
         Command::NodeList { listen } => stand::node_list(listen),
+        Command::Day(a) => day::day(&a),
+        Command::Rules { trace, json } => day::rules(&trace, json),
         Command::Config(ConfigCommand::Check { file }) => serve::check(&file),
     };
     match outcome {
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -85,6 +85,13 @@
         Ok(())
     }
 
+    /// The blocks of these kinds as they are written, in their order.
+    pub fn text_of(&self, kinds: &[&str]) -> String {
+        let blocks = self.body.blocks().filter(|b| kinds.contains(&b.ident.as_str()));
+        let spans = blocks.filter_map(|b| Some(b.ident.span()?.start..b.span()?.end));
+        spans.map(|s| self.text.get(s).unwrap_or_default().to_owned() + "\n").collect()
+    }
+
     /// All blocks of a kind, in the order written. Labels must differ where they are wanted.
     pub fn blocks<T: DeserializeOwned>(
         &self,
--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,13 @@
+//! Plays a scripted day on loopback: hosts as processes of their own, stand-in nodes, list and clients, troubles by
+//! the clock; records what the sockets show, holds the rules against it, and checks every byte that is read.
+
+mod fleet;
+mod play;
+mod registers;
+mod report;
+mod script;
+mod traffic;
+
+pub use play::{play, Played};
+pub use report::{Report, Served};
+pub use script::{Action, Script, TrafficBlock, Trouble};
--- /dev/null
+++ b/crates/day/src/play.rs
@@ -0,0 +1,460 @@
+//! The day itself: everything started, troubles at their times, everything ended, and judged.
+
+use crate::fleet::{entry, HostProcess, Nodes};
+use crate::report::{Report, Served};
+use crate::script::{Action, Misuse, Script};
+use crate::traffic::{Flow, Tally};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+use tackmast::interface::{Effect, Group};
+use tackmast_standins::initiator::{Initiator, Login, Reply};
+use tackmast_standins::list::{ListFault, NodeList};
+use tackmast_standins::node::Fault;
+use tackmast_trace::{EffectKind, Event, Facts, Line, Recorder, StreamFacts, VolumeFacts};
+use tackmast_wire::iscsi::{op, Digests, Pdu, FINAL, READS};
+use tackmast_wire::list::State;
+use tackmast_wire::scsi::Command;
+
+/// How often nodes' starts and ends are looked at for the list, and slow troubles take a step.
+const LOOK: Duration = Duration::from_millis(10);
+const AGEING_STEPS: u32 = 20;
+
+pub struct Played {
+    pub report: Report,
+    pub trace: Vec<Line>,
+    /// By host: seconds of CPU, resident MiB, threads, at the end of the day.
+    pub hosts: Vec<(f64, f64, u32)>,
+}
+
+fn facts(script: &Script) -> Facts {
+    let s = &script.settings;
+    let us = |seconds: f64| (seconds * 1e6) as u64;
+    let stream = |st: &tackmast_config::Stream| {
+        let (effect, window) = match st.effect {
+            Effect::Repeatable => (EffectKind::Repeatable, 0.0),
+            Effect::Unrepeatable => (EffectKind::Unrepeatable, 0.0),
+            Effect::Keyed { group: Group::All, window } => (EffectKind::KeyedAll, window.secs()),
+            Effect::Keyed { group: Group::Zone, window } => (EffectKind::KeyedZone, window.secs()),
+            Effect::Keyed { group: Group::Shard, window } => (EffectKind::KeyedShard, window.secs()),
+        };
+        StreamFacts {
+            name: st.name.clone(),
+            slo_us: us(st.slo.secs()),
+            effect,
+            window_us: us(window),
+            in_order: st.in_order,
+        }
+    };
+    let volume = |v: &tackmast_config::Volume| {
+        let p = &s.plans[v.plan as usize];
+        VolumeFacts { volume: v.lun, plan: p.name.clone(), limit: p.limit, burst: p.burst, slack: p.slack }
+    };
+    let cold = s.cold.as_ref();
+    Facts {
+        streams: s.streams.iter().map(stream).collect(),
+        volumes: s.volumes.iter().map(volume).collect(),
+        unit_bytes: s.units.bytes,
+        most_units: s.units.most,
+        answer_slack_us: us(script.day.answer_slack_ms / 1e3),
+        grace_us: us(script.day.drain_grace_ms / 1e3),
+        cold_multiple: cold.map_or(0.0, |c| c.multiple),
+        cold_window_us: cold.map_or(0, |c| us(c.window_s)),
+        cold_safe_units: cold.map_or(f64::MAX, |c| c.safe_units),
+        settle_us: us(s.load.settle_s),
+        further: s.further_legs.as_ref().map(|f| (f.free, f.share, us(f.window_s))),
+        skew_us: us(script.day.skew_ms / 1e3),
+    }
+}
+
+/// How a fault of a node is undone.
+fn undo(fault: &Fault) -> Option<Fault> {
+    Some(match fault {
+        Fault::Slow(_) => Fault::Slow(1.0),
+        Fault::Neighbour(_) => Fault::Neighbour(0.0),
+        Fault::Errors(_) => Fault::Errors(0.0),
+        Fault::Heavy(..) => Fault::Heavy(0.0, 1.0),
+        Fault::Silent(_) => Fault::Silent(false),
+        Fault::Deaf(_) => Fault::Deaf(false),
+        Fault::Drip(_) => Fault::Drip(false),
+        Fault::ResetAnswers(_) => Fault::ResetAnswers(0.0),
+        Fault::CutAnswers(_) => Fault::CutAnswers(0.0),
+        Fault::Garbage(_) => Fault::Garbage(0.0),
+        Fault::Pause(_) | Fault::Reset | Fault::Restart(_) | Fault::Die | Fault::Well => return None,
+    })
+}
+
+struct Stage<'a> {
+    script: &'a Script,
+    recorder: Recorder,
+    nodes: Nodes,
+    list: NodeList,
+    hosts: Vec<Option<HostProcess>>,
+    addresses: Arc<RwLock<Vec<SocketAddr>>>,
+    flows: Vec<Arc<Flow>>,
+    starts: BTreeMap<String, u64>,
+    failures: Vec<String>,
+    misuses: Vec<std::thread::JoinHandle<Option<String>>>,
+}
+
+/// Plays the script with hosts of this binary; their settings and logs go to `dir`.
+pub fn play(script: &Script, binary: &Path, dir: &Path, seed: u64) -> Result<Played, String> {
+    let recorder = Recorder::default();
+    recorder.note(Event::Facts(facts(script)));
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let nodes = Nodes::start(script, &recorder)?;
+    let list = NodeList::start(loopback, recorder.clone()).map_err(|e| format!("node list: {e}"))?;
+    list.set(&ListFault::Late(script.list_late_s));
+    list.put(nodes.by_name.values().map(|(_, n)| entry(n)));
+    std::thread::sleep(Duration::from_secs_f64(script.list_late_s));
+    let mut hosts = Vec::new();
+    for number in 0..script.day.hosts {
+        hosts.push(HostProcess::start(binary, script, number, loopback, list.address, dir, &recorder)?);
+    }
+    let addresses = Arc::new(RwLock::new(hosts.iter().map(|h| h.address).collect()));
+    let settings = Arc::new(script.settings.clone());
+    let mut flows = Vec::new();
+    let mut places: BTreeMap<&str, u64> = BTreeMap::new();
+    for (i, (name, block)) in script.traffic.iter().enumerate() {
+        let place = places.entry(&block.volume).or_default();
+        let flow_seed = seed * 1000 + i as u64 + 1;
+        let shared = (settings.clone(), addresses.clone(), recorder.clone());
+        flows.push(Flow::start(name, block, *place, flow_seed, shared.0, shared.1, shared.2)?);
+        *place += 1;
+    }
+    let starts = nodes.by_name.iter().map(|(name, (_, n))| (name.clone(), n.started_us())).collect();
+    let mut stage = Stage {
+        script,
+        recorder,
+        nodes,
+        list,
+        hosts: hosts.into_iter().map(Some).collect(),
+        addresses,
+        flows,
+        starts,
+        failures: Vec::new(),
+        misuses: Vec::new(),
+    };
+    stage.run()?;
+    Ok(stage.end(seed))
+}
+
+impl Stage<'_> {
+    fn run(&mut self) -> Result<(), String> {
+        let day = Duration::from_secs_f64(self.script.day.seconds);
+        let mut arrivals = Vec::new();
+        for f in &self.flows {
+            arrivals.push(f.go(day)?);
+        }
+        let start = Instant::now();
+        let mut begun = BTreeSet::new();
+        let mut ended = BTreeSet::new();
+        let mut steps: BTreeMap<usize, u32> = BTreeMap::new();
+        let mut over_at = day;
+        while start.elapsed() < over_at {
+            let t = start.elapsed().as_secs_f64();
+            for (i, trouble) in self.script.troubles.iter().enumerate() {
+                if t >= trouble.at_s && begun.insert(i) {
+                    self.recorder.note(Event::Trouble { what: trouble.name.clone(), on: true });
+                    self.begin(&trouble.action);
+                }
+                let until = trouble.at_s + trouble.for_s;
+                if begun.contains(&i) && !ended.contains(&i) {
+                    let part = ((t - trouble.at_s) / trouble.for_s.max(1e-3)).min(1.0);
+                    let step = steps.entry(i).or_default();
+                    self.step(&trouble.action, part, t - trouble.at_s, step);
+                }
+                if t >= until && begun.contains(&i) && ended.insert(i) {
+                    self.recorder.note(Event::Trouble { what: trouble.name.clone(), on: false });
+                    self.finish(&trouble.action);
+                    over_at = over_at.max(start.elapsed());
+                }
+            }
+            self.tell_list();
+            std::thread::sleep(LOOK);
+        }
+        for f in &self.flows {
+            f.stop();
+        }
+        for a in arrivals {
+            _ = a.join();
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, action: &Action) {
+        match action {
+            Action::Nodes { nodes, fault } => self.nodes_do(nodes, fault),
+            Action::List(fault) => self.list.set(fault),
+            Action::Deploy { nodes } | Action::Drain { nodes } => {
+                for n in self.nodes.named(nodes) {
+                    let address = self.nodes.node(&n).map(|n| n.address().to_string());
+                    self.list.state(&address.unwrap_or_default(), State::Draining);
+                }
+            }
+            Action::KillHosts(hosts) => {
+                for h in hosts {
+                    if let Some(p) = self.hosts.get_mut(*h as usize).and_then(Option::as_mut) {
+                        p.kill(&self.recorder);
+                    }
+                }
+            }
+            Action::Surge { traffic, times } => self.flows_named(traffic).for_each(|f| f.surge(*times)),
+            Action::Move { traffic } => self.flows_named(traffic).for_each(|f| f.move_lead()),
+            Action::Client { hosts, how } => {
+                for h in hosts {
+                    let addresses = self.addresses.read().unwrap_or_else(PoisonError::into_inner);
+                    let Some(address) = addresses.get(*h as usize).copied() else { continue };
+                    let (how, target) = (*how, self.script.settings.host.target.clone());
+                    let login_ms = self.script.settings.bounds.login_ms;
+                    self.misuses
+                        .push(std::thread::spawn(move || misuse(address, target, how, login_ms).err()));
+                }
+            }
+            Action::Ageing { .. } | Action::Pauses { .. } => {}
+        }
+    }
+
+    fn flows_named<'s>(&'s self, names: &'s [String]) -> impl Iterator<Item = &'s Arc<Flow>> {
+        self.flows.iter().filter(move |f| names.is_empty() || names.contains(&f.name))
+    }
+
+    fn nodes_do(&self, names: &[String], fault: &Fault) {
+        for n in self.nodes.named(names) {
+            if let Some(n) = self.nodes.node(&n) {
+                n.set(fault);
+            }
+        }
+    }
+
+    /// What a trouble does while it lasts; `part` of its time is over.
+    fn step(&mut self, action: &Action, part: f64, s: f64, step: &mut u32) {
+        match action {
+            Action::Ageing { nodes, times, .. } => {
+                let now = (part * f64::from(AGEING_STEPS)) as u32;
+                if now > *step {
+                    *step = now;
+                    self.nodes_do(nodes, &Fault::Slow(times.powf(part)));
+                }
+            }
+            Action::Pauses { nodes, pause_s, every_s } => {
+                let now = (s / every_s.max(0.01)) as u32 + 1;
+                if now > *step {
+                    *step = now;
+                    self.nodes_do(nodes, &Fault::Pause(*pause_s));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn finish(&mut self, action: &Action) {
+        match action {
+            Action::Nodes { nodes, fault } => {
+                if let Some(undo) = undo(fault) {
+                    self.nodes_do(nodes, &undo);
+                }
+            }
+            Action::Ageing { nodes, down_s, .. } => {
+                self.nodes_do(nodes, &Fault::Slow(1.0));
+                self.nodes_do(nodes, &Fault::Restart(*down_s));
+            }
+            Action::Pauses { .. } | Action::Move { .. } | Action::Client { .. } => {}
+            Action::List(ListFault::Late(_)) => self.list.set(&ListFault::Late(self.script.list_late_s)),
+            Action::List(ListFault::Fails(_)) => self.list.set(&ListFault::Fails(false)),
+            Action::List(ListFault::Silent(_)) => self.list.set(&ListFault::Silent(false)),
+            Action::List(ListFault::Reset | ListFault::Skip(_)) => {}
+            Action::Deploy { nodes } => {
+                for n in self.nodes.named(nodes) {
+                    if let Err(e) = self.nodes.replace(&n, &self.list) {
+                        self.failures.push(e);
+                    }
+                    self.starts.insert(n.clone(), self.nodes.node(&n).map_or(0, |n| n.started_us()));
+                }
+            }
+            Action::Drain { nodes } => {
+                for n in self.nodes.named(nodes) {
+                    let address = self.nodes.node(&n).map(|n| n.address().to_string());
+                    self.list.state(&address.unwrap_or_default(), State::Ready);
+                }
+            }
+            Action::KillHosts(hosts) => {
+                for h in hosts {
+                    if let Some(p) = self.hosts.get_mut(*h as usize).and_then(Option::as_mut) {
+                        if let Err(e) = p.again(self.script, self.list.address, &self.recorder) {
+                            self.failures.push(e);
+                        }
+                    }
+                }
+            }
+            Action::Surge { traffic, .. } => self.flows_named(traffic).for_each(|f| f.surge(1.0)),
+        }
+    }
+
+    /// The list knows which processes run, and when they started.
+    fn tell_list(&mut self) {
+        for (name, (_, node)) in &self.nodes.by_name {
+            let started = node.started_us();
+            if node.is_up() && started > 0 && self.starts.get(name) != Some(&started) {
+                self.starts.insert(name.clone(), started);
+                self.list.restarted(&node.address().to_string(), started);
+            }
+        }
+    }
+
+    fn end(mut self, seed: u64) -> Played {
+        let longest = self.script.settings.streams.iter().map(|s| s.expiry.secs()).fold(0.0, f64::max);
+        let slack = self.script.day.answer_slack_ms / 1e3;
+        let until = Instant::now() + Duration::from_secs_f64(longest + slack + 0.2);
+        while Instant::now() < until && self.flows.iter().any(|f| f.open() > 0) {
+            self.tell_list();
+            std::thread::sleep(LOOK);
+        }
+        let hosts: Vec<(f64, f64, u32)> = self
+            .hosts
+            .iter()
+            .flatten()
+            .map(|h| {
+                let (memory, threads) = h.size().unwrap_or_default();
+                (h.cpu_s().unwrap_or_default(), memory, threads)
+            })
+            .collect();
+        // All that was due is past its time by this line.
+        std::thread::sleep(Duration::from_millis(20));
+        self.recorder.note(Event::Trouble { what: "end of the day".into(), on: false });
+        let trace = self.recorder.take();
+        for f in &self.flows {
+            f.close();
+        }
+        for m in self.misuses.drain(..) {
+            if let Ok(Some(e)) = m.join() {
+                self.failures.push(e);
+            }
+        }
+        for h in self.hosts.iter_mut().filter_map(Option::take) {
+            h.end();
+        }
+        for (name, (_, node)) in &self.nodes.by_name {
+            if node.has_fallen() {
+                self.failures.push(format!("node {name} fell over while cold"));
+            }
+            node.stop();
+        }
+        self.list.stop();
+        let rules = tackmast_rulecheck::judge(&trace);
+        for r in &self.script.day.exercises {
+            if rules.rules.len() == 7 && rules.rule(*r).checked == 0 {
+                self.failures.push(format!("rule {r} was not exercised; the script says that this day does"));
+            }
+        }
+        let report = self.report(seed, rules);
+        Played { report, trace, hosts }
+    }
+
+    fn report(&mut self, seed: u64, rules: tackmast_rulecheck::Report) -> Report {
+        let s = &self.script.settings;
+        let mut tallies: BTreeMap<(usize, usize), Tally> = BTreeMap::new();
+        let (mut failures, mut checked) = (std::mem::take(&mut self.failures), 0);
+        for f in &self.flows {
+            let (streams, wrong, blocks) = f.result();
+            checked += blocks;
+            failures.extend(wrong);
+            for (i, t) in streams.iter().enumerate().filter(|(_, t)| t.asked > 0) {
+                tallies.entry((f.plan(), i)).or_insert_with(Tally::new).add(t);
+            }
+        }
+        let (asked, done) = tallies.values().fold((0, 0), |(a, d), t| (a + t.asked, d + t.done));
+        let part = done as f64 / asked.max(1) as f64;
+        if part < self.script.day.least_done {
+            failures.push(format!(
+                "{part:.3} of first tries done; the script expects {}",
+                self.script.day.least_done
+            ));
+        }
+        let served =
+            tallies.iter().map(|((p, st), t)| Served::new(&s.plans[*p].name, &s.streams[*st].name, t));
+        Report { seed, served: served.collect(), blocks_checked: checked, failures, rules }
+    }
+}
+
+/// A client that breaks the protocol; the host must end its session with one error, or pass over what it sent.
+fn misuse(address: SocketAddr, target: String, how: Misuse, login_ms: u64) -> Result<(), String> {
+    let patience = Duration::from_secs(2);
+    let fail = |what: &str| Err(format!("client {how:?}: {what}"));
+    let closed_in = |stream: &mut TcpStream, wait: Duration| {
+        _ = stream.set_read_timeout(Some(wait));
+        let mut rest = [0; 1024];
+        loop {
+            match stream.read(&mut rest) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) => return e.kind() == std::io::ErrorKind::ConnectionReset,
+            }
+        }
+    };
+    if matches!(how, Misuse::Silent | Misuse::HalfFrame) {
+        let mut stream = TcpStream::connect_timeout(&address, patience).map_err(|e| e.to_string())?;
+        if how == Misuse::HalfFrame {
+            _ = stream.write_all(&[0x43; 20]);
+        }
+        let wait = Duration::from_millis(login_ms) + patience;
+        return if closed_in(&mut stream, wait) {
+            Ok(())
+        } else {
+            fail("was not closed after the time to log in")
+        };
+    }
+    let login = Login {
+        address,
+        target,
+        name: "iqn.2026-12.org.tackmast:misuse".into(),
+        digests: Digests::default(),
+        expiry_ms: None,
+        patience,
+    };
+    let (to, replies) = crossbeam_channel::unbounded();
+    let client =
+        Initiator::login(&login, u32::MAX, to, Recorder::default()).map_err(|e| format!("{how:?}: {e}"))?;
+    let closed = || {
+        let until = Instant::now() + patience;
+        while client.is_open() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        !client.is_open()
+    };
+    match how {
+        Misuse::Garbage => {
+            client.raw(&[0xa5; 512]);
+            if closed() {
+                Ok(())
+            } else {
+                fail("the session goes on after garbage")
+            }
+        }
+        Misuse::OverLong => {
+            let mut pdu = Pdu::new(op::COMMAND, FINAL | READS);
+            pdu.head[5..8].copy_from_slice(&[0xff; 3]);
+            client.raw(&pdu.head);
+            if closed() {
+                Ok(())
+            } else {
+                fail("the session goes on after an over-long frame")
+            }
+        }
+        _ => {
+            let mut pdu = Pdu::new(op::COMMAND, FINAL);
+            pdu.set32(16, 77).set32(24, client.next_number().wrapping_add(100_000));
+            client.raw(&pdu.head);
+            client.simple(1, 0, Command::ReportLuns { most: 64 }, 64);
+            match replies.recv_timeout(patience) {
+                Ok((1, Reply::Done(_))) => Ok(()),
+                other => {
+                    fail(&format!("{other:?} after a command past the window; expected its next one done"))
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/day/src/report.rs
@@ -0,0 +1,106 @@
+//! What a day has shown.
+
+use crate::traffic::Tally;
+use serde::Serialize;
+
+/// Service of one plan and stream type.
+#[derive(Clone, Debug, Serialize)]
+pub struct Served {
+    pub plan: String,
+    pub stream: String,
+    pub asked: u64,
+    pub in_time: f64,
+    pub done: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
+    pub lost: u64,
+    pub unreached: u64,
+    pub shut: u64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+impl Served {
+    pub fn new(plan: &str, stream: &str, t: &Tally) -> Served {
+        let at = |q| t.times.value_at_quantile(q) as f64 / 1e3;
+        Served {
+            plan: plan.to_owned(),
+            stream: stream.to_owned(),
+            asked: t.asked,
+            in_time: t.in_time as f64 / t.asked.max(1) as f64,
+            done: t.done,
+            deferred: t.deferred,
+            abandoned: t.abandoned,
+            lost: t.lost,
+            unreached: t.unreached,
+            shut: t.shut,
+            p50_ms: at(0.5),
+            p99_ms: at(0.99),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub seed: u64,
+    pub served: Vec<Served>,
+    pub blocks_checked: u64,
+    /// What is wrong beside the rules: bytes, answers, troubles that could not be played.
+    pub failures: Vec<String>,
+    pub rules: tackmast_rulecheck::Report,
+}
+
+impl Report {
+    pub fn is_good(&self) -> bool {
+        self.failures.is_empty() && self.rules.is_clean()
+    }
+}
+
+impl std::fmt::Display for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        writeln!(f, "seed {}; nodes and clients are stand-ins on loopback", self.seed)?;
+        writeln!(
+            f,
+            "{:<12} {:<14} {:>7} {:>8} {:>7} {:>8} {:>9} {:>5} {:>9} {:>5} {:>9} {:>9}",
+            "plan",
+            "stream type",
+            "asked",
+            "in time",
+            "done",
+            "deferred",
+            "abandoned",
+            "lost",
+            "unreached",
+            "shut",
+            "p50 ms",
+            "p99 ms"
+        )?;
+        for s in &self.served {
+            writeln!(
+                f,
+                "{:<12} {:<14} {:>7} {:>8.3} {:>7} {:>8} {:>9} {:>5} {:>9} {:>5} {:>9.2} {:>9.2}",
+                s.plan,
+                s.stream,
+                s.asked,
+                s.in_time,
+                s.done,
+                s.deferred,
+                s.abandoned,
+                s.lost,
+                s.unreached,
+                s.shut,
+                s.p50_ms,
+                s.p99_ms
+            )?;
+        }
+        writeln!(f, "{} blocks read were checked against what was written", self.blocks_checked)?;
+        write!(f, "{}", self.rules)?;
+        for failure in self.failures.iter().take(10) {
+            writeln!(f, "FAILED: {failure}")?;
+        }
+        if self.failures.len() > 10 {
+            writeln!(f, "and {} more failures", self.failures.len() - 10)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,494 @@
+//! The script of a day: the host's own blocks, and what is round the hosts and happens to them.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use tackmast_config::document::Place;
+use tackmast_config::{ConfigError, Document, HostSettings};
+use tackmast_standins::list::ListFault;
+use tackmast_standins::model::Nature;
+use tackmast_standins::node::Fault;
+
+/// `day { ... }`
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DayBlock {
+    pub seconds: f64,
+    pub hosts: u32,
+    #[serde(default = "one")]
+    pub seed: u64,
+    #[serde(default = "grace")]
+    pub drain_grace_ms: f64,
+    /// How late an answer may be seen by its client, and how far two ends of a socket may differ.
+    #[serde(default = "fifty")]
+    pub answer_slack_ms: f64,
+    #[serde(default = "fifty")]
+    pub skew_ms: f64,
+    /// Rules that the day must exercise; a day that does not has failed.
+    #[serde(default)]
+    pub exercises: Vec<u8>,
+    /// Least part of the first tries that must be done.
+    #[serde(default)]
+    pub least_done: f64,
+}
+
+fn one() -> u64 {
+    1
+}
+fn grace() -> f64 {
+    250.0
+}
+fn fifty() -> f64 {
+    50.0
+}
+
+/// `nodes "name" { ... }`: one node for each shard named.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodesBlock {
+    pub shards: Vec<u32>,
+    pub zone: u32,
+    pub cores: u32,
+    pub speed: f64,
+    pub unit_ms: f64,
+    pub queue: usize,
+    pub cold_from: f64,
+    pub warm_s: f64,
+    pub fall_multiple: f64,
+    pub fall_s: f64,
+    pub put_off: f64,
+    pub flush_s: f64,
+    pub pause_ms: f64,
+    pub pause_every_s: f64,
+    pub saved: f64,
+    pub remembers: usize,
+    pub drops: bool,
+    pub report_ms: u64,
+    pub cold: bool,
+}
+
+impl Default for NodesBlock {
+    fn default() -> Self {
+        let n = Nature::default();
+        NodesBlock {
+            shards: Vec::new(),
+            zone: 0,
+            cores: n.cores,
+            speed: n.speed,
+            unit_ms: n.unit_s * 1e3,
+            queue: n.queue,
+            cold_from: n.cold_from,
+            warm_s: n.warm_s,
+            fall_multiple: n.fall_multiple,
+            fall_s: n.fall_s,
+            put_off: n.put_off,
+            flush_s: n.flush_s,
+            pause_ms: n.pause_s * 1e3,
+            pause_every_s: n.pause_every_s,
+            saved: n.saved,
+            remembers: n.remembers,
+            drops: n.drops,
+            report_ms: 100,
+            cold: false,
+        }
+    }
+}
+
+impl NodesBlock {
+    pub fn nature(&self) -> Nature {
+        Nature {
+            cores: self.cores.max(1),
+            unit_s: self.unit_ms / 1e3,
+            speed: self.speed,
+            queue: self.queue,
+            cold_from: self.cold_from,
+            warm_s: self.warm_s,
+            fall_multiple: self.fall_multiple,
+            fall_s: self.fall_s,
+            put_off: self.put_off,
+            flush_s: self.flush_s,
+            pause_s: self.pause_ms / 1e3,
+            pause_every_s: self.pause_every_s,
+            saved: self.saved,
+            remembers: self.remembers,
+            drops: self.drops,
+        }
+    }
+}
+
+/// `traffic "name" { ... }`: clients of one volume.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TrafficBlock {
+    pub volume: String,
+    /// Hosts that it comes through; the first has the lead.
+    pub hosts: Vec<u32>,
+    /// Part that comes through the lead.
+    #[serde(default = "most")]
+    pub lead: f64,
+    /// Sessions with each host.
+    #[serde(default = "two")]
+    pub sessions: u32,
+    /// Commands a second.
+    pub rate: f64,
+    #[serde(default = "most")]
+    pub reads: f64,
+    /// Smallest and largest command.
+    #[serde(default = "small")]
+    pub blocks: (u32, u32),
+    /// Blocks that it works on.
+    #[serde(default = "span")]
+    pub span_blocks: u64,
+    #[serde(default)]
+    pub from_s: f64,
+    pub for_s: Option<f64>,
+    /// Further tries after a deferral, and whether it waits as told.
+    #[serde(default)]
+    pub retries: u32,
+    #[serde(default = "yes")]
+    pub waits: bool,
+    #[serde(default)]
+    pub digests: bool,
+    pub expiry_ms: Option<u32>,
+    /// Part of commands that are aborted a little later, and after which the session goes without a word.
+    #[serde(default)]
+    pub aborts: f64,
+    #[serde(default)]
+    pub leaves: f64,
+}
+
+fn most() -> f64 {
+    0.7
+}
+fn two() -> u32 {
+    2
+}
+fn small() -> (u32, u32) {
+    (1, 8)
+}
+fn span() -> u64 {
+    4096
+}
+fn yes() -> bool {
+    true
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TroubleBlock {
+    at_s: f64,
+    #[serde(default)]
+    for_s: f64,
+    #[serde(default)]
+    nodes: Vec<String>,
+    fault: Option<String>,
+    list: Option<String>,
+    #[serde(default)]
+    drain: Vec<String>,
+    #[serde(default)]
+    hosts: Vec<u32>,
+    host: Option<String>,
+    #[serde(default)]
+    traffic: Vec<String>,
+    times: Option<f64>,
+    #[serde(default)]
+    moves: bool,
+    client: Option<String>,
+}
+
+/// What a trouble does at its time; most are undone at its end.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Nodes {
+        nodes: Vec<String>,
+        fault: Fault,
+    },
+    /// Slower and slower, to that many times, then dead, and back cold after so many seconds.
+    Ageing {
+        nodes: Vec<String>,
+        times: f64,
+        down_s: f64,
+    },
+    /// Stands still again and again.
+    Pauses {
+        nodes: Vec<String>,
+        pause_s: f64,
+        every_s: f64,
+    },
+    List(ListFault),
+    /// Drained for the trouble's length, then stopped, gone from the list, and replaced by a cold successor.
+    Deploy {
+        nodes: Vec<String>,
+    },
+    /// Told to drain, and ready again at its end.
+    Drain {
+        nodes: Vec<String>,
+    },
+    KillHosts(Vec<u32>),
+    Surge {
+        traffic: Vec<String>,
+        times: f64,
+    },
+    /// The lead passes to another host.
+    Move {
+        traffic: Vec<String>,
+    },
+    /// A client at each host that breaks the protocol.
+    Client {
+        hosts: Vec<u32>,
+        how: Misuse,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Misuse {
+    Garbage,
+    OverLong,
+    PastWindow,
+    HalfFrame,
+    Silent,
+}
+
+#[derive(Debug, Clone)]
+pub struct Trouble {
+    pub name: String,
+    pub at_s: f64,
+    pub for_s: f64,
+    pub action: Action,
+}
+
+pub struct Script {
+    pub day: DayBlock,
+    pub nodes: Vec<(String, NodesBlock)>,
+    pub list_late_s: f64,
+    pub traffic: Vec<(String, TrafficBlock)>,
+    pub troubles: Vec<Trouble>,
+    /// Settings as host 0 would have them, for what is common to all.
+    pub settings: HostSettings,
+    host_blocks: String,
+}
+
+#[derive(Debug, Clone, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct ListBlock {
+    late_s: f64,
+}
+
+/// `host_extra { ... }`: attributes that go into each host's own block.
+#[derive(Debug, Clone, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct HostExtra {
+    answer_lead_ms: Option<f64>,
+    tick_ms: Option<f64>,
+}
+
+const HOST_BLOCKS: [&str; 8] =
+    ["bounds", "units", "load", "further_legs", "cold_nodes", "stream", "plan", "volume"];
+const DAY_BLOCKS: [&str; 6] = ["day", "nodes", "list", "traffic", "trouble", "host_extra"];
+
+impl Script {
+    pub fn read(path: &std::path::Path) -> Result<Script, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError {
+            file: file.clone(),
+            line: 0,
+            place: "file".into(),
+            problem: format!("{e}; expected the script of a day"),
+        })?;
+        Script::parse(&file, &text)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Script, ConfigError> {
+        let doc = Document::parse(file, text)?;
+        let known: Vec<&str> = HOST_BLOCKS.into_iter().chain(DAY_BLOCKS).collect();
+        doc.only(&known)?;
+        let day: DayBlock = doc.block("day")?;
+        let wrong = |kind: &str, label: &str, name: &str, found: String, expected: &str| {
+            doc.wrong(&Place { kind, label, name }, found, expected)
+        };
+        if !(0.1..=3600.0).contains(&day.seconds) {
+            return Err(wrong("day", "", "seconds", day.seconds.to_string(), "a number from 0.1 to 3600"));
+        }
+        if !(1..=64).contains(&day.hosts) {
+            return Err(wrong("day", "", "hosts", day.hosts.to_string(), "1 to 64"));
+        }
+        if let Some(r) = day.exercises.iter().find(|r| !(1..=7).contains(*r)) {
+            return Err(wrong("day", "", "exercises", r.to_string(), "numbers of rules, 1 to 7"));
+        }
+        let extra: HostExtra = doc.block_or("host_extra")?;
+        let list: ListBlock = doc.block_or("list")?;
+        let mut more = String::new();
+        for (name, value) in [("answer_lead_ms", extra.answer_lead_ms), ("tick_ms", extra.tick_ms)] {
+            if let Some(v) = value {
+                more += &format!("  {name} = {v}\n");
+            }
+        }
+        let host_blocks = format!("{}\n{more}", doc.text_of(&HOST_BLOCKS));
+        let host_blocks = (host_blocks, more);
+        let settings =
+            HostSettings::parse(file, &host_text(&host_blocks.0, &host_blocks.1, 0, &day, None, None))
+                .map_err(|e| ConfigError { line: 0, ..e })?;
+        let mut nodes = Vec::new();
+        for f in doc.blocks::<NodesBlock>("nodes", true)? {
+            if f.value.shards.is_empty() {
+                return Err(wrong("nodes", &f.label, "shards", "[]".into(), "the shards they hold"));
+            }
+            nodes.push((f.label, f.value));
+        }
+        let mut traffic = Vec::new();
+        for f in doc.blocks::<TrafficBlock>("traffic", true)? {
+            let (name, t) = (f.label, f.value);
+            let Some(v) = settings.volumes.iter().find(|v| v.name == t.volume) else {
+                return Err(wrong("traffic", &name, "volume", t.volume, "the name of a volume block"));
+            };
+            if t.hosts.is_empty()
+                || t.hosts.iter().any(|h| *h >= day.hosts)
+                || t.hosts.len() > v.hosts as usize
+            {
+                let expected = format!("hosts below {}, at most the volume's {}", day.hosts, v.hosts);
+                return Err(wrong("traffic", &name, "hosts", format!("{:?}", t.hosts), &expected));
+            }
+            if t.blocks.0 == 0 || t.blocks.0 > t.blocks.1 || u64::from(t.blocks.1) > t.span_blocks {
+                return Err(wrong(
+                    "traffic",
+                    &name,
+                    "blocks",
+                    format!("{:?}", t.blocks),
+                    "least and most, from 1",
+                ));
+            }
+            if !(0.01..=1e6).contains(&t.rate) {
+                return Err(wrong(
+                    "traffic",
+                    &name,
+                    "rate",
+                    t.rate.to_string(),
+                    "a number from 0.01 to 1000000",
+                ));
+            }
+            traffic.push((name, t));
+        }
+        let mut troubles = Vec::new();
+        for f in doc.blocks::<TroubleBlock>("trouble", true)? {
+            let (name, t) = (f.label, f.value);
+            let action = action(&t)
+                .map_err(|(key, found, expected)| wrong("trouble", &name, key, found, &expected))?;
+            let unknown =
+                |names: &[String], known: &dyn Fn(&str) -> bool| names.iter().find(|n| !known(n)).cloned();
+            let node_known = |n: &str| nodes.iter().any(|(name, b)| n == name || is_one_of(n, name, b));
+            if let Some(n) = unknown(&t.nodes, &node_known).or_else(|| unknown(&t.drain, &node_known)) {
+                return Err(wrong(
+                    "trouble",
+                    &name,
+                    "nodes",
+                    n,
+                    "a nodes block, or its name with a shard: name/3",
+                ));
+            }
+            let traffic_known = |n: &str| traffic.iter().any(|(name, _)| n == name);
+            if let Some(n) = unknown(&t.traffic, &traffic_known) {
+                return Err(wrong("trouble", &name, "traffic", n, "the name of a traffic block"));
+            }
+            troubles.push(Trouble { name, at_s: t.at_s.max(0.0), for_s: t.for_s.max(0.0), action });
+        }
+        let list_late_s = list.late_s;
+        Ok(Script { day, nodes, list_late_s, traffic, troubles, settings, host_blocks: host_blocks.0 })
+    }
+
+    /// The settings file of one host.
+    pub fn host_file(&self, host: u32, listen: SocketAddr, list: SocketAddr) -> String {
+        let extra = format!(
+            "  answer_lead_ms = {}\n  tick_ms = {}\n",
+            self.settings.host.answer_lead_ms, self.settings.host.tick_ms
+        );
+        host_text(&self.host_blocks, &extra, host, &self.day, Some(listen), Some(list))
+    }
+}
+
+fn is_one_of(wanted: &str, name: &str, block: &NodesBlock) -> bool {
+    wanted
+        .strip_prefix(name)
+        .and_then(|rest| rest.strip_prefix('/'))
+        .and_then(|n| n.parse::<u32>().ok())
+        .is_some_and(|n| block.shards.contains(&n))
+}
+
+fn host_text(
+    blocks: &str,
+    extra: &str,
+    host: u32,
+    day: &DayBlock,
+    listen: Option<SocketAddr>,
+    list: Option<SocketAddr>,
+) -> String {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (listen, list) = (listen.unwrap_or(nowhere), list.unwrap_or(nowhere));
+    let (hosts, seed) = (day.hosts, day.seed + u64::from(host));
+    format!(
+        "host {{\n  number = {host}\n  hosts = {hosts}\n  listen = \"{listen}\"\n  node_list = \"{list}\"\n  \
+         seed = {seed}\n{extra}}}\n{blocks}"
+    )
+}
+
+type Wrong = (&'static str, String, String);
+
+fn action(t: &TroubleBlock) -> Result<Action, Wrong> {
+    let number = |key, text: &str| {
+        let n = text.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        n.ok_or_else(|| (key, text.to_owned(), "a number of 0 or more".to_owned()))
+    };
+    if let Some(fault) = &t.fault {
+        let words: Vec<&str> = fault.split_whitespace().collect();
+        let nodes = t.nodes.clone();
+        return Ok(match words.as_slice() {
+            ["ageing", times, down] => {
+                Action::Ageing { nodes, times: number("fault", times)?, down_s: number("fault", down)? }
+            }
+            ["pauses", pause, every] => {
+                Action::Pauses { nodes, pause_s: number("fault", pause)?, every_s: number("fault", every)? }
+            }
+            ["deploy"] => Action::Deploy { nodes },
+            _ => {
+                let fault = fault.parse().map_err(|e| ("fault", String::new(), e))?;
+                Action::Nodes { nodes, fault }
+            }
+        });
+    }
+    if let Some(list) = &t.list {
+        let words: Vec<&str> = list.split_whitespace().collect();
+        return Ok(Action::List(match words.as_slice() {
+            ["late", s] => ListFault::Late(number("list", s)?),
+            ["fails"] => ListFault::Fails(true),
+            ["silent"] => ListFault::Silent(true),
+            ["reset"] => ListFault::Reset,
+            ["skip", n] => ListFault::Skip(number("list", n)? as u32),
+            _ => return Err(("list", list.clone(), "late S, fails, silent, reset or skip N".into())),
+        }));
+    }
+    if !t.drain.is_empty() {
+        return Ok(Action::Drain { nodes: t.drain.clone() });
+    }
+    if let Some(client) = &t.client {
+        let how = match client.as_str() {
+            "garbage" => Misuse::Garbage,
+            "over-long" => Misuse::OverLong,
+            "past-window" => Misuse::PastWindow,
+            "half-frame" => Misuse::HalfFrame,
+            "silent" => Misuse::Silent,
+            _ => {
+                let expected = "garbage, over-long, past-window, half-frame or silent";
+                return Err(("client", client.clone(), expected.into()));
+            }
+        };
+        return Ok(Action::Client { hosts: t.hosts.clone(), how });
+    }
+    match (t.host.as_deref(), t.times) {
+        (Some("kill"), _) => Ok(Action::KillHosts(t.hosts.clone())),
+        (Some(other), _) => Err(("host", other.to_owned(), "kill".into())),
+        (None, Some(times)) => Ok(Action::Surge { traffic: t.traffic.clone(), times }),
+        (None, None) if t.moves => Ok(Action::Move { traffic: t.traffic.clone() }),
+        _ => {
+            let expected = "one of fault, list, drain, host, times, moves and client";
+            Err(("at_s", "nothing is done".into(), expected.into()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/rulecheck/src/index.rs
@@ -0,0 +1,248 @@
+//! The trace put in order: commands with their answers, transfers with their legs, what each host was told.
+
+use std::collections::{BTreeMap, HashMap};
+use tackmast_trace::{AnswerKind, Event, Facts, LegEndKind, LegName, Line, ListedState, StreamFacts};
+
+pub type CommandName = (u32, u32, u32); // host, session, command
+
+#[derive(Debug)]
+pub struct Command {
+    pub name: CommandName,
+    pub t: u64,
+    pub stream: u32,
+    pub expiry_us: u64,
+    pub answers: Vec<(u64, AnswerKind)>,
+    pub left: Option<u64>,
+    /// Its host's end, if that came before the answer.
+    pub host_down: Option<u64>,
+}
+
+#[derive(Debug)]
+pub struct Leg {
+    pub t: u64,
+    pub node: String,
+    pub name: LegName,
+    pub part: u16,
+    pub volume: u32,
+    pub units: f64,
+    pub told_units: f64,
+    pub key: u64,
+    pub left_us: u64,
+    pub end: Option<(u64, LegEndKind, bool)>,
+    pub cancel: Option<u64>,
+    pub link_down: Option<u64>,
+    /// The command it belongs to, among `commands`.
+    pub command: Option<usize>,
+}
+
+impl Leg {
+    /// When its host has had the end of it, and whether the work may go on after that.
+    pub fn over(&self) -> (u64, bool) {
+        let unknown = [Some(self.t + self.left_us), self.cancel, self.link_down];
+        let unknown = unknown.into_iter().flatten().min().unwrap_or(u64::MAX);
+        match self.end {
+            Some((t, _, _)) if t <= unknown => (t, false),
+            _ => (unknown, true),
+        }
+    }
+
+    pub fn never_ran(&self) -> bool {
+        matches!(self.end, Some((_, LegEndKind::NeverRan, _)))
+    }
+
+    pub fn group(&self, index: &Index, zone: bool) -> Option<u32> {
+        let life = index.node_life(&self.node, self.t)?;
+        Some(if zone { life.zone } else { life.shard })
+    }
+}
+
+#[derive(Debug)]
+pub struct NodeLife {
+    pub node: String,
+    pub t: u64,
+    pub zone: u32,
+    pub shard: u32,
+    pub capacity: f64,
+    pub cold_from: f64,
+    pub warm_us: u64,
+}
+
+#[derive(Debug)]
+pub struct Told {
+    pub t: u64,
+    pub state: ListedState,
+    pub started_us: u64,
+}
+
+pub struct Index {
+    pub facts: Facts,
+    pub commands: Vec<Command>,
+    /// By arrival at their nodes.
+    pub legs: Vec<Leg>,
+    /// Indices of each transfer's legs, by arrival.
+    pub xfers: BTreeMap<(u32, u64, u64), Vec<usize>>,
+    pub told: HashMap<(u32, String), Vec<Told>>,
+    pub lives: Vec<NodeLife>,
+    pub host_ups: Vec<(u64, u32)>,
+    pub end: u64,
+    pub unfit: Option<String>,
+}
+
+impl Index {
+    pub fn new(lines: &[Line]) -> Result<Index, String> {
+        let facts = lines.iter().find_map(|l| match &l.event {
+            Event::Facts(f) => Some(f.clone()),
+            _ => None,
+        });
+        let facts = facts.ok_or("no line of facts; expected one at the start of the trace")?;
+        let mut x = Index {
+            facts,
+            commands: Vec::new(),
+            legs: Vec::new(),
+            xfers: BTreeMap::new(),
+            told: HashMap::new(),
+            lives: Vec::new(),
+            host_ups: Vec::new(),
+            end: lines.last().map_or(0, |l| l.t),
+            unfit: None,
+        };
+        let mut by_name: HashMap<CommandName, Vec<usize>> = HashMap::new();
+        let mut legs_of: HashMap<(String, LegName), usize> = HashMap::new();
+        let mut last = 0;
+        for (i, line) in lines.iter().enumerate() {
+            let t = line.t;
+            if t < last {
+                x.unfit = Some(format!("line {}: time {t} after {last}; expected an order of time", i + 1));
+            }
+            last = t;
+            match &line.event {
+                Event::Facts(_) | Event::Trouble { .. } | Event::NodeDown { .. } => {}
+                Event::Truncated => x.unfit = Some("events were lost when it was recorded".into()),
+                Event::Submit { host, session, command, stream, expiry_us, .. } => {
+                    let name = (*host, *session, *command);
+                    by_name.entry(name).or_default().push(x.commands.len());
+                    x.commands.push(Command {
+                        name,
+                        t,
+                        stream: *stream,
+                        expiry_us: *expiry_us,
+                        answers: Vec::new(),
+                        left: None,
+                        host_down: None,
+                    });
+                }
+                Event::Answer { host, session, command, kind, .. } => {
+                    match by_name.get(&(*host, *session, *command)).and_then(|v| v.last()) {
+                        Some(c) => x.commands[*c].answers.push((t, *kind)),
+                        None => x.unfit = Some(format!("line {}: an answer to no command", i + 1)),
+                    }
+                }
+                Event::Left { host, session, command } => {
+                    let c = by_name.get(&(*host, *session, *command)).and_then(|v| v.last());
+                    if let Some(c) = c.map(|c| &mut x.commands[*c]).filter(|c| c.answers.is_empty()) {
+                        c.left = c.left.or(Some(t));
+                    }
+                }
+                Event::HostDown { host } => {
+                    for c in x.commands.iter_mut().filter(|c| c.name.0 == *host && c.answers.is_empty()) {
+                        c.host_down = c.host_down.or(Some(t));
+                    }
+                }
+                Event::HostUp { host } => {
+                    x.host_ups.push((t, *host));
+                    // A new life knows nothing of what the old one was told.
+                    for (_, told) in x.told.iter_mut().filter(|((h, _), _)| h == host) {
+                        told.push(Told { t, state: ListedState::Ready, started_us: 0 });
+                    }
+                }
+                Event::NodeUp { node, zone, shard, capacity, cold_from, warm_us } => x.lives.push(NodeLife {
+                    node: node.clone(),
+                    t,
+                    zone: *zone,
+                    shard: *shard,
+                    capacity: *capacity,
+                    cold_from: *cold_from,
+                    warm_us: *warm_us,
+                }),
+                Event::Leg {
+                    node, name, session, command, part, volume, bytes, units, key, left_us, ..
+                } => {
+                    let at = x.legs.len();
+                    let belongs =
+                        by_name.get(&(name.host, *session, *command)).and_then(|v| v.last()).copied();
+                    let counted = (*bytes as f64 / f64::from(x.facts.unit_bytes.max(1)))
+                        .ceil()
+                        .clamp(1.0, x.facts.most_units);
+                    legs_of.insert((node.clone(), *name), at);
+                    x.xfers.entry((name.host, name.life, name.xfer)).or_default().push(at);
+                    x.legs.push(Leg {
+                        t,
+                        node: node.clone(),
+                        name: *name,
+                        part: *part,
+                        volume: *volume,
+                        units: counted,
+                        told_units: *units,
+                        key: *key,
+                        left_us: *left_us,
+                        end: None,
+                        cancel: None,
+                        link_down: None,
+                        command: belongs,
+                    });
+                }
+                Event::LegEnd { node, name, kind, ran } => {
+                    if let Some(l) = legs_of.get(&(node.clone(), *name)) {
+                        x.legs[*l].end = x.legs[*l].end.or(Some((t, *kind, *ran)));
+                    }
+                }
+                Event::Cancel { node, name } => {
+                    if let Some(l) = legs_of.get(&(node.clone(), *name)) {
+                        x.legs[*l].cancel = x.legs[*l].cancel.or(Some(t));
+                    }
+                }
+                Event::LinkDown { node, legs, .. } => {
+                    for name in legs {
+                        if let Some(l) = legs_of.get(&(node.clone(), *name)) {
+                            x.legs[*l].link_down = x.legs[*l].link_down.or(Some(t));
+                        }
+                    }
+                }
+                Event::Told { host, node, state, started_us } => {
+                    let told = Told { t, state: *state, started_us: *started_us };
+                    x.told.entry((*host, node.clone())).or_default().push(told);
+                }
+            }
+        }
+        Ok(x)
+    }
+
+    pub fn stream(&self, command: Option<usize>) -> Option<&StreamFacts> {
+        self.facts.streams.get(self.commands[command?].stream as usize)
+    }
+
+    pub fn node_life(&self, node: &str, t: u64) -> Option<&NodeLife> {
+        self.lives.iter().rev().find(|l| l.node == node && l.t <= t)
+    }
+
+    pub fn title(&self, leg: &Leg) -> String {
+        match leg.command.map(|c| self.commands[c].name) {
+            Some((host, session, command)) => {
+                format!("{host}/{session}/{command} part {} leg {}", leg.part, leg.name.leg)
+            }
+            None => {
+                format!("{}/{:x} number {} leg {}", leg.name.host, leg.name.life, leg.name.xfer, leg.name.leg)
+            }
+        }
+    }
+}
+
+impl Index {
+    /// Transfers that a host took in a span, at most: commands, and a transfer more for each further part seen.
+    pub fn most_parts(&self, host: u32, from: u64, to: u64, commands: usize) -> f64 {
+        let further = self.xfers.values().map(|legs| &self.legs[legs[0]]);
+        let further = further.filter(|l| l.part > 0 && l.name.host == host);
+        let seen = further.filter(|l| l.command.is_some_and(|c| (from..=to).contains(&self.commands[c].t)));
+        (commands + seen.count()) as f64
+    }
+}
--- /dev/null
+++ b/crates/rulecheck/src/rules.rs
@@ -0,0 +1,323 @@
+//! The rules, one function each. `skew` is how far two ends of a socket may see the same thing apart.
+
+use crate::index::{Index, Leg};
+use crate::{Break, RuleReport};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use tackmast_trace::{AnswerKind, EffectKind, ListedState};
+
+/// Units by which a sum of many floats may be off.
+const ROUNDING: f64 = 1e-6;
+/// Part of the work at a cold node that must come from hosts told of its start, for the break to be theirs.
+const TOLD_PART: f64 = 2.0 / 3.0;
+
+fn report(
+    rule: u8,
+    name: &'static str,
+    cases: &'static str,
+    checked: usize,
+    breaks: Vec<Break>,
+) -> RuleReport {
+    RuleReport { rule, name, checked, cases, breaks }
+}
+
+fn broken(x: &Index, rule: u8, leg: &Leg, what: String) -> Break {
+    Break { rule, t: leg.t, transfer: x.title(leg), node: leg.node.clone(), what }
+}
+
+fn ms(us: u64) -> f64 {
+    us as f64 / 1e3
+}
+
+/// 1: exactly one final answer, in time, and nothing goes out after it.
+pub fn answers(x: &Index) -> RuleReport {
+    let mut breaks = Vec::new();
+    let mut checked = 0;
+    let f = &x.facts;
+    for c in &x.commands {
+        let (host, session, command) = c.name;
+        let due = c.t + c.expiry_us + f.answer_slack_us;
+        let mut add = |t, what| {
+            let transfer = format!("{host}/{session}/{command}");
+            breaks.push(Break { rule: 1, t, transfer, node: String::new(), what });
+        };
+        match c.answers.as_slice() {
+            [] => {
+                let excused = [c.left, c.host_down].into_iter().flatten().any(|t| t <= due);
+                if !excused && due <= x.end {
+                    checked += 1;
+                    add(due, format!("no answer within {} ms", ms(c.expiry_us)));
+                }
+            }
+            [(t, _)] => {
+                checked += 1;
+                if *t > due {
+                    add(*t, format!("answered after {} ms of {}", ms(t - c.t), ms(c.expiry_us)));
+                }
+            }
+            [_, (t, _), ..] => {
+                checked += 1;
+                add(*t, format!("{} final answers", c.answers.len()));
+            }
+        }
+    }
+    for leg in &x.legs {
+        let Some(c) = leg.command.map(|c| &x.commands[c]) else {
+            breaks.push(broken(x, 1, leg, "a leg for no command of any client".into()));
+            continue;
+        };
+        let over = c.answers.first().map(|(t, _)| *t).or(c.left);
+        if let Some(t) = over.filter(|t| leg.t > t + f.skew_us) {
+            let what = format!("a leg arrived {} ms after its transfer was over", ms(leg.t - t));
+            breaks.push(broken(x, 1, leg, what));
+        }
+    }
+    report(1, "one answer", "answers due", checked, breaks)
+}
+
+/// 2: no double effect, and never two legs of a transfer out at once.
+pub fn double_effects(x: &Index) -> RuleReport {
+    let mut breaks = Vec::new();
+    let mut checked = 0;
+    let skew = x.facts.skew_us;
+    let mut by_command: HashMap<usize, Vec<usize>> = HashMap::new();
+    for legs in x.xfers.values() {
+        let Some(stream) = x.stream(x.legs[legs[0]].command) else { continue };
+        for (i, b) in legs.iter().enumerate() {
+            let b = &x.legs[*b];
+            if let Some(c) = b.command {
+                by_command.entry(c).or_default().push(legs[i]);
+            }
+            for a in legs[..i].iter().map(|a| &x.legs[*a]) {
+                checked += 1;
+                let (over, _) = a.over();
+                if over > b.t + skew {
+                    let what =
+                        format!("leg {} arrived while leg {} was out at {}", b.name.leg, a.name.leg, a.node);
+                    breaks.push(broken(x, 2, b, what));
+                }
+                if a.never_ran() {
+                    continue;
+                }
+                let same = match stream.effect {
+                    EffectKind::Repeatable => continue,
+                    EffectKind::Unrepeatable => {
+                        breaks.push(broken(
+                            x,
+                            2,
+                            b,
+                            format!("unrepeatable, and leg {} may have run", a.name.leg),
+                        ));
+                        continue;
+                    }
+                    EffectKind::KeyedAll => true,
+                    EffectKind::KeyedZone => a.group(x, true) == b.group(x, true),
+                    EffectKind::KeyedShard => a.group(x, false) == b.group(x, false),
+                };
+                if !same {
+                    breaks.push(broken(x, 2, b, format!("outside the discard group of leg {}", a.name.leg)));
+                } else if b.t.saturating_sub(a.t) > stream.window_us + skew {
+                    let what =
+                        format!("{} ms after leg {}; nodes know marks for {}", ms(b.t - a.t), a.name.leg, {
+                            ms(stream.window_us)
+                        });
+                    breaks.push(broken(x, 2, b, what));
+                }
+            }
+        }
+    }
+    for (c, command) in x.commands.iter().enumerate() {
+        let Some(stream) = x.facts.streams.get(command.stream as usize) else { continue };
+        if stream.effect == EffectKind::Repeatable {
+            continue;
+        }
+        let legs: Vec<&Leg> = by_command.get(&c).into_iter().flatten().map(|l| &x.legs[*l]).collect();
+        let deferred = command.answers.iter().find(|(_, k)| *k == AnswerKind::Deferred);
+        if let Some((t, _)) = deferred {
+            checked += 1;
+            // The client's next try is a new transfer with a mark of its own, so any run counts.
+            for leg in legs.iter().filter(|l| l.t <= *t && !l.never_ran()) {
+                let what = format!("deferred, and leg {} at {} may have run", leg.name.leg, leg.node);
+                let transfer = x.title(leg);
+                breaks.push(Break { rule: 2, t: *t, transfer, node: leg.node.clone(), what });
+            }
+        }
+        let mut ran: BTreeMap<u16, u32> = BTreeMap::new();
+        for leg in &legs {
+            if let Some((_, _, true)) = leg.end {
+                *ran.entry(leg.part).or_default() += 1;
+                if ran[&leg.part] > 1 {
+                    breaks.push(broken(x, 2, leg, "its effect was had twice".into()));
+                }
+            }
+        }
+    }
+    report(2, "no double effect", "further legs and deferrals", checked, breaks)
+}
+
+/// 3: nothing new to a node that drains or is gone, after the grace.
+pub fn drains(x: &Index) -> RuleReport {
+    let mut breaks = Vec::new();
+    let mut used: HashMap<(u32, &str), u64> = HashMap::new();
+    for leg in &x.legs {
+        used.entry((leg.name.host, leg.node.as_str())).or_insert(leg.t);
+    }
+    let mut checked = 0;
+    for ((host, node), told) in &x.told {
+        let first = used.get(&(*host, node.as_str()));
+        checked +=
+            told.iter().filter(|t| t.state != ListedState::Ready && first.is_some_and(|f| *f <= t.t)).count();
+    }
+    for leg in &x.legs {
+        let Some(told) = x.told.get(&(leg.name.host, leg.node.clone())) else { continue };
+        let Some(last) = told.iter().rposition(|t| t.t <= leg.t) else { continue };
+        // It counts from the first word of the stretch in which the node was not ready.
+        let since = told[..=last].iter().rev().take_while(|t| t.state != ListedState::Ready).last();
+        if let Some(s) = since.filter(|s| leg.t > s.t + x.facts.grace_us + x.facts.skew_us) {
+            let what = format!("{} ms after its host was told {:?}", ms(leg.t - s.t), s.state);
+            breaks.push(broken(x, 3, leg, what));
+        }
+    }
+    report(3, "drains", "times a host was told to stop", checked, breaks)
+}
+
+/// 4: all hosts together never push a cold node over.
+pub fn cold_nodes(x: &Index) -> RuleReport {
+    let f = &x.facts;
+    let mut breaks = Vec::new();
+    let mut checked = 0;
+    for life in x.lives.iter().filter(|l| l.cold_from < 1.0 && l.warm_us > 0) {
+        let next = x.lives.iter().filter(|l| l.node == life.node && l.t > life.t).map(|l| l.t).min();
+        let until = (life.t + life.warm_us).min(next.unwrap_or(u64::MAX));
+        let mut window: VecDeque<(u64, f64, bool)> = VecDeque::new();
+        for leg in x.legs.iter().filter(|l| l.node == life.node && l.t >= life.t && l.t < until) {
+            checked += 1;
+            let told = x.told.get(&(leg.name.host, leg.node.clone()));
+            let knew = told.is_some_and(|t| {
+                t.iter().any(|t| t.t <= leg.t && t.started_us + f.skew_us >= life.t && t.started_us > 0)
+            });
+            window.push_back((leg.t, leg.units, knew));
+            while window.front().is_some_and(|(t, _, _)| t + f.cold_window_us < leg.t) {
+                window.pop_front();
+            }
+            let sent: f64 = window.iter().map(|(_, u, _)| u).sum();
+            let by_told: f64 = window.iter().filter(|(_, _, k)| *k).map(|(_, u, _)| u).sum();
+            let part = (leg.t - life.t) as f64 / life.warm_us as f64;
+            let warmth = life.cold_from + (1.0 - life.cold_from) * part;
+            let window_s = f.cold_window_us as f64 / 1e6;
+            let bears = (f.cold_multiple * life.capacity * warmth * window_s).max(f.cold_safe_units);
+            if sent > bears + ROUNDING && by_told >= TOLD_PART * sent {
+                let what = format!(
+                    "{sent:.1} units in {window_s} s, by hosts that knew of its start; it bears {bears:.1}"
+                );
+                breaks.push(broken(x, 4, leg, what));
+            }
+        }
+    }
+    report(4, "cold nodes", "legs to cold nodes", checked, breaks)
+}
+
+/// 5: transfers of one key run one at a time, in the order their host took them.
+pub fn order(x: &Index) -> RuleReport {
+    let mut breaks = Vec::new();
+    let mut checked = 0;
+    let skew = x.facts.skew_us;
+    let mut keys: BTreeMap<(u32, u64, u64), Vec<usize>> = BTreeMap::new();
+    for (i, leg) in x.legs.iter().enumerate().filter(|(_, l)| l.key != 0) {
+        if x.stream(leg.command).is_some_and(|s| s.in_order) {
+            keys.entry((leg.name.host, leg.name.life, leg.key)).or_default().push(i);
+        }
+    }
+    for legs in keys.values() {
+        for (i, b) in legs.iter().enumerate() {
+            let b = &x.legs[*b];
+            let mut seen = false;
+            for a in legs[..i].iter().map(|a| &x.legs[*a]).filter(|a| a.name.xfer != b.name.xfer) {
+                seen = true;
+                let (over, unknown) = a.over();
+                let free = if unknown { over.saturating_add(x.facts.settle_us) } else { over };
+                if free > b.t + skew {
+                    let why = if unknown { "is still settling" } else { "is still out" };
+                    let what = format!("arrived while number {} of its key {why} at {}", a.name.xfer, a.node);
+                    breaks.push(broken(x, 5, b, what));
+                }
+            }
+            checked += usize::from(seen);
+            // The one taken first goes first: by the host's numbers, and within a session by the client's.
+            for a in legs[i + 1..].iter().map(|a| &x.legs[*a]).filter(|a| a.name.xfer != b.name.xfer) {
+                let by_client = match (a.command, b.command) {
+                    (Some(p), Some(q)) if x.commands[p].name.1 == x.commands[q].name.1 => {
+                        Some(x.commands[p].name.2 < x.commands[q].name.2)
+                    }
+                    _ => None,
+                };
+                let earlier = by_client.unwrap_or(a.name.xfer < b.name.xfer);
+                if earlier && a.part == b.part {
+                    let what = format!("overtook number {}, which its host had taken before", a.name.xfer);
+                    breaks.push(broken(x, 5, b, what));
+                    break;
+                }
+            }
+        }
+    }
+    report(5, "order", "legs behind another of their key", checked, breaks)
+}
+
+/// 6: further legs stay within the budget over any window.
+pub fn budget(x: &Index) -> RuleReport {
+    let cases = "further legs";
+    let Some((free, share, window)) = x.facts.further else {
+        return report(6, "budget", cases, 0, Vec::new());
+    };
+    let skew = x.facts.skew_us;
+    let mut breaks = Vec::new();
+    let mut checked = 0;
+    let mut lives: BTreeMap<(u32, u64), Vec<&Leg>> = BTreeMap::new();
+    for leg in x.legs.iter().filter(|l| l.name.leg > 0) {
+        lives.entry((leg.name.host, leg.name.life)).or_default().push(leg);
+    }
+    for ((host, _), legs) in lives {
+        let taken: Vec<u64> = x.commands.iter().filter(|c| c.name.0 == host).map(|c| c.t).collect();
+        for (i, leg) in legs.iter().enumerate() {
+            checked += 1;
+            let from = leg.t.saturating_sub(window);
+            let sent = legs[..=i].iter().filter(|l| l.t > from + skew).count();
+            let taken = taken.partition_point(|t| *t <= leg.t)
+                - taken.partition_point(|t| *t < from.saturating_sub(skew));
+            // A command may count as several transfers, one for each extent it touches.
+            let parts = x.most_parts(host, from.saturating_sub(skew), leg.t, taken);
+            let allowed = free + share * parts;
+            if sent as f64 > allowed + ROUNDING {
+                let what = format!("{sent} further legs in {} ms; {allowed:.1} are allowed", ms(window));
+                breaks.push(broken(x, 6, leg, what));
+            }
+        }
+    }
+    report(6, "budget", cases, checked, breaks)
+}
+
+/// 7: all hosts together never pass a volume's limit plus its slack.
+pub fn limits(x: &Index) -> RuleReport {
+    let mut breaks = Vec::new();
+    let mut checked = 0;
+    for v in x.facts.volumes.iter().filter(|v| v.limit > 0.0) {
+        let mut firsts: Vec<&Leg> = x.xfers.values().map(|legs| &x.legs[legs[0]]).collect();
+        firsts.retain(|l| l.volume == v.volume);
+        firsts.sort_by_key(|l| l.t);
+        let mut level = v.burst;
+        let mut last = firsts.first().map_or(0, |l| l.t);
+        for leg in firsts {
+            checked += 1;
+            // A host that counts fewer units than the bytes make draws more than it says.
+            let units = leg.units.max(leg.told_units);
+            level = (level + (leg.t - last) as f64 / 1e6 * v.limit).min(v.burst) - units;
+            last = leg.t;
+            let floor = -(v.slack + v.limit * x.facts.skew_us as f64 / 1e6);
+            if level < floor - ROUNDING {
+                let what =
+                    format!("volume {} is {:.1} units past its limit; slack {}", v.volume, -level, v.slack);
+                breaks.push(broken(x, 7, leg, what));
+            }
+        }
+    }
+    report(7, "limits", "first legs under a limit", checked, breaks)
+}
--- /dev/null
+++ b/crates/rulecheck/tests/doctored.rs
@@ -0,0 +1,308 @@
+//! Clean traces pass; a trace with one break is told its rule, transfer and node.
+
+use tackmast_rulecheck::judge;
+use tackmast_trace::*;
+
+/// A trace under construction; times in milliseconds.
+struct Script(Vec<Line>);
+
+fn facts() -> Facts {
+    let stream = |name: &str, effect, in_order| StreamFacts {
+        name: name.into(),
+        slo_us: 100_000,
+        effect,
+        window_us: 1_000_000,
+        in_order,
+    };
+    Facts {
+        streams: vec![
+            stream("read", EffectKind::Repeatable, false),
+            stream("once", EffectKind::Unrepeatable, true),
+            stream("zone", EffectKind::KeyedZone, false),
+            stream("shard", EffectKind::KeyedShard, false),
+            stream("keyed", EffectKind::KeyedAll, false),
+        ],
+        volumes: vec![VolumeFacts { volume: 1, plan: "basic".into(), limit: 10.0, burst: 20.0, slack: 4.0 }],
+        unit_bytes: 4096,
+        most_units: 8.0,
+        answer_slack_us: 10_000,
+        grace_us: 250_000,
+        cold_multiple: 2.0,
+        cold_window_us: 1_000_000,
+        cold_safe_units: 5.0,
+        settle_us: 500_000,
+        further: Some((2.0, 0.1, 1_000_000)),
+        skew_us: 20_000,
+    }
+}
+
+impl Script {
+    fn new() -> Script {
+        let mut s = Script(Vec::new());
+        s.at(0, Event::Facts(facts())).at(1, Event::HostUp { host: 0 }).at(1, Event::HostUp { host: 1 });
+        for (node, zone, shard) in [("a", 0, 0), ("b", 1, 1), ("c", 0, 2)] {
+            s.at(2, up(node, zone, shard, 1.0)).told(3, 0, node, ListedState::Ready, 0);
+        }
+        s
+    }
+    fn at(&mut self, t: u64, event: Event) -> &mut Self {
+        self.0.push(Line { t: t * 1000, event });
+        self
+    }
+    fn told(&mut self, t: u64, host: u32, node: &str, state: ListedState, started_ms: u64) -> &mut Self {
+        self.at(t, Event::Told { host, node: node.into(), state, started_us: started_ms * 1000 })
+    }
+    fn submit(&mut self, t: u64, command: u32, stream: u32) -> &mut Self {
+        let (host, session, volume, bytes) = (0, 1, 2, 4096);
+        let (write, offset, expiry_us) = (stream > 0, 0, 1_000_000);
+        self.at(t, Event::Submit { host, session, command, volume, stream, write, offset, bytes, expiry_us })
+    }
+    fn answer(&mut self, t: u64, command: u32, kind: AnswerKind) -> &mut Self {
+        self.at(t, Event::Answer { host: 0, session: 1, command, kind, come_back_us: 0 })
+    }
+    fn leg(&mut self, t: u64, node: &str, command: u32, leg: u8) -> &mut Self {
+        self.leg_of(t, node, command, leg, 2, 4096, 0)
+    }
+    #[allow(clippy::too_many_arguments)]
+    fn leg_of(
+        &mut self,
+        t: u64,
+        node: &str,
+        command: u32,
+        leg: u8,
+        volume: u32,
+        bytes: u64,
+        key: u64,
+    ) -> &mut Self {
+        let units = (bytes as f64 / 4096.0).ceil();
+        self.at(
+            t,
+            Event::Leg {
+                node: node.into(),
+                name: name(command, leg),
+                session: 1,
+                command,
+                part: 0,
+                volume,
+                write: false,
+                offset: 0,
+                bytes,
+                units,
+                key,
+                mark: "0".into(),
+                left_us: 900_000,
+            },
+        )
+    }
+    fn end(&mut self, t: u64, node: &str, command: u32, leg: u8, kind: LegEndKind) -> &mut Self {
+        let ran = kind == LegEndKind::Done;
+        self.at(t, Event::LegEnd { node: node.into(), name: name(command, leg), kind, ran })
+    }
+    /// A whole transfer that is served at once.
+    fn served(&mut self, t: u64, node: &str, command: u32, stream: u32) -> &mut Self {
+        self.submit(t, command, stream).leg(t + 1, node, command, 0);
+        self.end(t + 5, node, command, 0, LegEndKind::Done).answer(t + 6, command, AnswerKind::Done)
+    }
+    fn lines(mut self) -> Vec<Line> {
+        self.at(10_000, Event::Trouble { what: "end".into(), on: false });
+        self.0.sort_by_key(|l| l.t);
+        self.0
+    }
+}
+
+fn name(command: u32, leg: u8) -> LegName {
+    LegName { host: 0, life: 77, xfer: u64::from(command), leg }
+}
+
+fn up(node: &str, zone: u32, shard: u32, cold_from: f64) -> Event {
+    let warm_us = if cold_from < 1.0 { 4_000_000 } else { 0 };
+    Event::NodeUp { node: node.into(), zone, shard, capacity: 10.0, cold_from, warm_us }
+}
+
+#[test]
+fn each_rule_is_judged_by_the_sockets_alone() {
+    use AnswerKind::{Abandoned, Deferred, Done};
+    use LegEndKind::{Error, NeverRan};
+    use ListedState::{Draining, Gone, Ready};
+    type Play = fn(&mut Script);
+    // What happens, which rule it breaks, or 0 for none.
+    let cases: &[(&str, u8, Play)] = &[
+        ("served", 0, |s| _ = s.served(100, "a", 1, 0)),
+        ("answered late", 1, |s| _ = s.submit(100, 1, 0).leg(101, "a", 1, 0).answer(1200, 1, Done)),
+        ("never answered", 1, |s| _ = s.submit(100, 1, 0)),
+        ("answered twice", 1, |s| _ = s.served(100, "a", 1, 0).answer(200, 1, Abandoned)),
+        ("leg after the answer", 1, |s| _ = s.served(100, "a", 1, 0).leg(200, "a", 1, 1)),
+        ("leg after its client left", 1, |s| {
+            s.submit(100, 1, 0).at(150, Event::Left { host: 0, session: 1, command: 1 }).leg(200, "a", 1, 0);
+        }),
+        ("its client left", 0, |s| {
+            s.submit(100, 1, 0).leg(101, "a", 1, 0).at(150, Event::Left { host: 0, session: 1, command: 1 });
+        }),
+        ("its host died", 0, |s| _ = s.submit(100, 1, 0).at(150, Event::HostDown { host: 0 })),
+        ("two legs at once", 2, |s| {
+            s.submit(100, 1, 0).leg(101, "a", 1, 0).leg(150, "a", 1, 1);
+            s.end(200, "a", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("a second leg after an error", 0, |s| {
+            s.submit(100, 1, 0).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).leg(150, "a", 1, 1);
+            s.end(200, "a", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("unrepeatable, again after an error", 2, |s| {
+            s.submit(100, 1, 1).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).leg(150, "a", 1, 1);
+            s.end(200, "a", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("unrepeatable, again after a full queue", 0, |s| {
+            s.submit(100, 1, 1).leg(101, "a", 1, 0).end(110, "a", 1, 0, NeverRan).leg(150, "a", 1, 1);
+            s.end(200, "a", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("unrepeatable, deferred after an error", 2, |s| {
+            s.submit(100, 1, 1).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).answer(111, 1, Deferred);
+        }),
+        ("unrepeatable, abandoned after an error", 0, |s| {
+            s.submit(100, 1, 1).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).answer(111, 1, Abandoned);
+        }),
+        ("keyed, deferred after an error", 2, |s| {
+            s.submit(100, 1, 4).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).answer(111, 1, Deferred);
+        }),
+        ("keyed in a zone, to another", 2, |s| {
+            s.submit(100, 1, 2).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).leg(150, "b", 1, 1);
+            s.end(200, "b", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("keyed in a zone, within it", 0, |s| {
+            s.submit(100, 1, 2).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).leg(150, "c", 1, 1);
+            s.end(200, "c", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("keyed in a shard, to another", 2, |s| {
+            s.submit(100, 1, 3).leg(101, "a", 1, 0).end(110, "a", 1, 0, Error).leg(150, "c", 1, 1);
+            s.end(200, "c", 1, 1, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("told to drain", 3, |s| {
+            _ = s.served(50, "a", 1, 0).told(100, 0, "a", Draining, 0).served(400, "a", 2, 0)
+        }),
+        ("told gone after draining", 3, |s| {
+            s.served(50, "a", 1, 0)
+                .told(100, 0, "a", Draining, 0)
+                .told(300, 0, "a", Gone, 0)
+                .served(400, "a", 2, 0);
+        }),
+        ("within the grace", 0, |s| {
+            _ = s.served(50, "a", 1, 0).told(100, 0, "a", Draining, 0).served(300, "a", 2, 0)
+        }),
+        ("ready again", 0, |s| {
+            s.served(50, "a", 1, 0)
+                .told(100, 0, "a", Draining, 0)
+                .told(390, 0, "a", Ready, 0)
+                .served(400, "a", 2, 0);
+        }),
+        ("a cold node is pushed over", 4, |s| {
+            s.at(1000, up("a", 0, 0, 0.2)).told(1001, 0, "a", Ready, 1000);
+            (1..12).for_each(|i| _ = s.served(1010 + u64::from(i) * 10, "a", i, 0));
+        }),
+        ("a cold node, large ones", 4, |s| {
+            s.at(1000, up("a", 0, 0, 0.2)).told(1001, 0, "a", Ready, 1000).submit(1010, 1, 0);
+            s.leg_of(1011, "a", 1, 0, 2, 4096 * 8, 0).answer(1030, 1, Done);
+        }),
+        ("nobody was told that it is cold", 0, |s| {
+            s.at(1000, up("a", 0, 0, 0.2));
+            (1..12).for_each(|i| _ = s.served(1010 + u64::from(i) * 10, "a", i, 0));
+        }),
+        ("a cold node bears so much", 0, |s| {
+            s.at(1000, up("a", 0, 0, 0.2)).told(1001, 0, "a", Ready, 1000);
+            (1..5).for_each(|i| _ = s.served(1010 + u64::from(i) * 10, "a", i, 0));
+        }),
+        ("two of a key at once", 5, |s| {
+            s.submit(100, 1, 1)
+                .submit(100, 2, 1)
+                .leg_of(101, "a", 1, 0, 2, 1, 9)
+                .leg_of(150, "a", 2, 0, 2, 1, 9);
+            s.end(200, "a", 1, 0, LegEndKind::Done).answer(201, 1, Done);
+            s.end(210, "a", 2, 0, LegEndKind::Done).answer(211, 2, Done);
+        }),
+        ("no rest after a time-out", 5, |s| {
+            s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 1, 0, 2, 1, 9);
+            s.at(200, Event::Cancel { node: "a".into(), name: name(1, 0) }).answer(201, 1, Abandoned);
+            s.leg_of(400, "a", 2, 0, 2, 1, 9).end(410, "a", 2, 0, LegEndKind::Done).answer(411, 2, Done);
+        }),
+        ("overtaken", 5, |s| {
+            s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 2, 0, 2, 1, 9);
+            s.end(110, "a", 2, 0, LegEndKind::Done).answer(111, 2, Done);
+            s.leg_of(150, "a", 1, 0, 2, 1, 9).end(200, "a", 1, 0, LegEndKind::Done).answer(201, 1, Done);
+        }),
+        ("in turn, after the rest", 0, |s| {
+            s.submit(100, 1, 1).submit(150, 2, 1).leg_of(101, "a", 1, 0, 2, 1, 9);
+            s.at(200, Event::Cancel { node: "a".into(), name: name(1, 0) }).answer(201, 1, Abandoned);
+            s.leg_of(710, "a", 2, 0, 2, 1, 9).end(715, "a", 2, 0, LegEndKind::Done).answer(716, 2, Done);
+        }),
+        ("too many further legs", 6, |s| {
+            for c in 1..=3 {
+                s.submit(100, c, 0).leg(101, "a", c, 0).end(110, "a", c, 0, Error).leg(150, "a", c, 1);
+                s.end(200, "a", c, 1, LegEndKind::Done).answer(201, c, Done);
+            }
+        }),
+        ("three further legs of one", 6, |s| {
+            s.submit(100, 1, 0).leg(101, "a", 1, 0);
+            for leg in 1..=3u8 {
+                let t = 100 + u64::from(leg) * 50;
+                s.end(t, "a", 1, leg - 1, Error).leg(t + 30, "a", 1, leg);
+            }
+            s.end(300, "a", 1, 3, LegEndKind::Done).answer(301, 1, Done);
+        }),
+        ("few further legs", 0, |s| {
+            for c in 1..=2 {
+                s.submit(100, c, 0).leg(101, "a", c, 0).end(110, "a", c, 0, Error).leg(150, "a", c, 1);
+                s.end(200, "a", c, 1, LegEndKind::Done).answer(201, c, Done);
+            }
+        }),
+        ("past the limit at once", 7, |s| {
+            for c in 1..=4 {
+                s.submit(100, c, 0).leg_of(101, "a", c, 0, 1, 4096 * 8, 0).answer(150, c, Done);
+                s.end(149, "a", c, 0, LegEndKind::Done);
+            }
+        }),
+        ("past the limit in the long run", 7, |s| {
+            for c in 1..=40 {
+                let t = 100 + u64::from(c) * 50;
+                s.submit(t, c, 0).leg_of(t + 1, "a", c, 0, 1, 4096, 0);
+                s.end(t + 2, "a", c, 0, LegEndKind::Done).answer(t + 3, c, Done);
+            }
+            for c in 41..=80 {
+                let t = 100 + u64::from(c) * 50;
+                s.submit(t, c, 0).leg_of(t + 1, "a", c, 0, 1, 4096 * 2, 0);
+                s.end(t + 2, "a", c, 0, LegEndKind::Done).answer(t + 3, c, Done);
+            }
+        }),
+        ("up to the limit and its slack", 0, |s| {
+            for c in 1..=3 {
+                s.submit(100, c, 0).leg_of(101, "a", c, 0, 1, 4096 * 8, 0).answer(150, c, Done);
+                s.end(149, "a", c, 0, LegEndKind::Done);
+            }
+        }),
+    ];
+    for (name, rule, play) in cases {
+        let mut s = Script::new();
+        play(&mut s);
+        let report = judge(&s.lines());
+        assert_eq!(report.unfit, None, "{name}");
+        let broken: Vec<u8> = report.rules.iter().filter(|r| !r.breaks.is_empty()).map(|r| r.rule).collect();
+        let expected: Vec<u8> = if *rule > 0 { vec![*rule] } else { vec![] };
+        assert_eq!(broken, expected, "{name}:\n{report}");
+    }
+}
+
+#[test]
+fn what_the_traffic_did_not_hold_is_not_called_kept() {
+    let mut s = Script::new();
+    s.served(100, "a", 1, 0);
+    let report = judge(&s.lines());
+    let exercised: Vec<u8> = report.rules.iter().filter(|r| r.checked > 0).map(|r| r.rule).collect();
+    assert_eq!(exercised, [1], "{report}");
+    assert!(report.to_string().contains("rule 5 order              not exercised"), "{report}");
+}
+
+#[test]
+fn a_trace_that_lost_events_proves_nothing() {
+    let mut s = Script::new();
+    s.at(50, Event::Truncated);
+    assert!(!judge(&s.lines()).is_clean());
+    assert!(judge(&[]).unfit.is_some_and(|why| why.contains("facts")));
+}
