Nothing leaves after a transfer is over: stuck links are cut, and legs know their age

Change: a leg's ticket tells whether its bytes are written; one that is over, or whose node drains, while its link is still writing has its connection reset, which drops what was not sent; sockets towards nodes take little; legs carry their time of sending. The stand-in notes when unread bytes came and when a connection was reset; the checker no longer takes a cancel for the end of a leg.

--- a/crates/cli/src/stand.rs
+++ b/crates/cli/src/stand.rs
@@ -64,6 +64,7 @@
         marks: Arc::new(Marks::default()),
         window_s: 5.0,
         cold: a.cold,
+        receive_bytes: 0,
         recorder: Recorder::default(),
     })
     .map_err(|e| format!("--listen {}: {e}", a.listen))?;
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -85,11 +85,22 @@
         Ok(())
     }
 
-    /// The blocks of these kinds as they are written, in their order.
-    pub fn text_of(&self, kinds: &[&str]) -> String {
-        let blocks = self.body.blocks().filter(|b| kinds.contains(&b.ident.as_str()));
-        let spans = blocks.filter_map(|b| Some(b.ident.span()?.start..b.span()?.end));
-        spans.map(|s| self.text.get(s).unwrap_or_default().to_owned() + "\n").collect()
+    /// The text with only the blocks of these kinds left in it, each on the lines where it stands.
+    pub fn only_text(&self, kinds: &[&str]) -> String {
+        let mut out = self.text.clone().into_bytes();
+        for b in self.body.blocks().filter(|b| !kinds.contains(&b.ident.as_str())) {
+            let (Some(ident), Some(whole)) = (b.ident.span(), b.span()) else { continue };
+            let until = whole.end.min(out.len());
+            for byte in out[ident.start.min(until)..until].iter_mut().filter(|b| **b != b'\n') {
+                *byte = b' ';
+            }
+        }
+        String::from_utf8_lossy(&out).into_owned()
+    }
+
+    /// Whether there is a block of this kind.
+    pub fn has(&self, kind: &str) -> bool {
+        self.body.blocks().any(|b| b.ident.as_str() == kind)
     }
 
     /// All blocks of a kind, in the order written. Labels must differ where they are wanted.
@@ -112,13 +123,17 @@
                 return Err(self.error_at(b.ident.span(), place(), problem));
             }
             let body: hcl::Body = b.body.clone().into();
-            let value = hcl::from_body(body).map_err(|e| {
-                // The library names the key in some errors; then its own line is the better one.
-                let message = e.to_string();
-                let culprit =
-                    b.body.attributes().find(|a| message.contains(&format!("`{}`", a.key.as_str())));
+            let plain: serde_json::Value = hcl::from_body(body)
+                .map_err(|e| self.error_at(b.ident.span(), place(), format!("{e}; expected plain values")))?;
+            let value = serde_path_to_error::deserialize(plain).map_err(|e| {
+                let (path, message) = (e.path().to_string(), e.inner().to_string());
+                let key = path.split(['.', '[']).next().unwrap_or("");
+                // Where the path stops at the block, the message may still name the key.
+                let names = |k: &str| k == key || message.contains(&format!("`{k}`"));
+                let culprit = b.body.attributes().find(|a| names(a.key.as_str()));
                 let span = culprit.and_then(|a| a.span()).or_else(|| b.ident.span());
-                self.error_at(span, place(), message)
+                let at = culprit.map_or_else(place, |a| format!("{} {}", place(), a.key.as_str()));
+                self.error_at(span, at, message)
             })?;
             found.push(Found { label, value });
         }
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -64,6 +64,8 @@
     /// Connections to one node, and legs waiting to be written on each.
     pub links: usize,
     pub link_queue: usize,
+    /// Bytes that one connection to a node may hold on their way: what has left can't be taken back.
+    pub link_bytes: u32,
     pub connect_ms: u64,
     /// A client that takes no byte, and a link that stays silent, for so long is given up.
     pub client_stall_ms: u64,
@@ -87,6 +89,7 @@
             nodes: 4096,
             links: 2,
             link_queue: 256,
+            link_bytes: 65_536,
             connect_ms: 250,
             client_stall_ms: 10_000,
             link_silence_ms: 5_000,
@@ -137,13 +140,15 @@
     pub longest_wait_s: f64,
     /// Rest of an order key after a leg that may still be running.
     pub settle_s: f64,
+    /// Time after word of a drain within which what was on its way may still reach the node.
+    pub drain_grace_ms: f64,
     /// Whether nodes tell of service through other hosts.
     pub tells_others: bool,
 }
 
 impl Default for Load {
     fn default() -> Self {
-        Load { most_legs: 4, longest_wait_s: 2.0, settle_s: 1.0, tells_others: true }
+        Load { most_legs: 4, longest_wait_s: 2.0, settle_s: 1.0, drain_grace_ms: 250.0, tells_others: true }
     }
 }
 
@@ -326,6 +331,7 @@
             ("nodes", bounds.nodes as u64, 1, 1 << 20),
             ("links", bounds.links as u64, 1, 64),
             ("link_queue", bounds.link_queue as u64, 1, 65_536),
+            ("link_bytes", u64::from(bounds.link_bytes), 4096, 16 << 20),
             ("connect_ms", bounds.connect_ms, 1, 60_000),
             ("client_stall_ms", bounds.client_stall_ms, 10, 3_600_000),
             ("link_silence_ms", bounds.link_silence_ms, 10, 3_600_000),
@@ -343,6 +349,7 @@
         whole("load", "most_legs", u64::from(load.most_legs), 1, 200)?;
         within("load", "", "longest_wait_s", load.longest_wait_s, 0.0, DAY_S)?;
         within("load", "", "settle_s", load.settle_s, 0.0, DAY_S)?;
+        within("load", "", "drain_grace_ms", load.drain_grace_ms, 1.0, DAY_S * 1e3)?;
         if let Some(f) = &further_legs {
             within("further_legs", "", "free", f.free, 0.0, 1e9)?;
             within("further_legs", "", "share", f.share, 0.0, 1e3)?;
--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -182,6 +182,7 @@
             marks: self.scopes.entry(scope).or_default().clone(),
             window_s: self.window_s,
             cold,
+            receive_bytes: block.receive_bytes,
             recorder: self.recorder.clone(),
         };
         let node = Node::start(settings).map_err(|e| format!("node {name}: {e}"))?;
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -23,6 +23,8 @@
     pub answer_slack_ms: f64,
     #[serde(default = "fifty")]
     pub skew_ms: f64,
+    /// File beside the script whose blocks hold where the script has none of their kind.
+    pub base: Option<std::path::PathBuf>,
     /// Rules that the day must exercise; a day that does not has failed.
     #[serde(default)]
     pub exercises: Vec<u8>,
@@ -64,6 +66,8 @@
     pub drops: bool,
     pub report_ms: u64,
     pub cold: bool,
+    /// Bytes that its sockets take while it does not read; 0: as many as the system likes.
+    pub receive_bytes: usize,
 }
 
 impl Default for NodesBlock {
@@ -89,6 +93,7 @@
             drops: n.drops,
             report_ms: 100,
             cold: false,
+            receive_bytes: 0,
         }
     }
 }
@@ -283,7 +288,22 @@
 
 const HOST_BLOCKS: [&str; 8] =
     ["bounds", "units", "load", "further_legs", "cold_nodes", "stream", "plan", "volume"];
-const DAY_BLOCKS: [&str; 6] = ["day", "nodes", "list", "traffic", "trouble", "host_extra"];
+const BLOCKS: [&str; 14] = [
+    "bounds",
+    "units",
+    "load",
+    "further_legs",
+    "cold_nodes",
+    "stream",
+    "plan",
+    "volume",
+    "day",
+    "nodes",
+    "list",
+    "traffic",
+    "trouble",
+    "host_extra",
+];
 
 impl Script {
     pub fn read(path: &std::path::Path) -> Result<Script, ConfigError> {
@@ -294,13 +314,33 @@
             place: "file".into(),
             problem: format!("{e}; expected the script of a day"),
         })?;
-        Script::parse(&file, &text)
+        let doc = Document::parse(&file, &text)?;
+        let day: DayBlock = doc.block("day")?;
+        let Some(base) = day.base else { return Script::parse(&file, &text) };
+        let base = path.with_file_name(base);
+        let base_file = base.display().to_string();
+        let base_text = std::fs::read_to_string(&base).map_err(|e| {
+            doc.wrong(
+                &Place { kind: "day", label: "", name: "base" },
+                format!("{base_file}: {e}"),
+                "a file of blocks",
+            )
+        })?;
+        // Blocks of the base stand behind the script's own, on lines that can be told from them.
+        let base_doc = Document::parse(&base_file, &base_text)?;
+        base_doc.only(&BLOCKS)?;
+        let missing: Vec<&str> = BLOCKS.into_iter().filter(|k| !doc.has(k)).collect();
+        let own_lines = text.lines().count();
+        let whole = format!("{}\n{}", text.trim_end_matches('\n'), base_doc.only_text(&missing));
+        Script::parse(&file, &whole).map_err(|e| match e.line > own_lines {
+            true => ConfigError { file: base_file, line: e.line - own_lines, ..e },
+            false => e,
+        })
     }
 
     pub fn parse(file: &str, text: &str) -> Result<Script, ConfigError> {
         let doc = Document::parse(file, text)?;
-        let known: Vec<&str> = HOST_BLOCKS.into_iter().chain(DAY_BLOCKS).collect();
-        doc.only(&known)?;
+        doc.only(&BLOCKS)?;
         let day: DayBlock = doc.block("day")?;
         let wrong = |kind: &str, label: &str, name: &str, found: String, expected: &str| {
             doc.wrong(&Place { kind, label, name }, found, expected)
@@ -322,11 +362,11 @@
                 more += &format!("  {name} = {v}\n");
             }
         }
-        let host_blocks = format!("{}\n{more}", doc.text_of(&HOST_BLOCKS));
-        let host_blocks = (host_blocks, more);
-        let settings =
-            HostSettings::parse(file, &host_text(&host_blocks.0, &host_blocks.1, 0, &day, None, None))
-                .map_err(|e| ConfigError { line: 0, ..e })?;
+        let host_blocks = doc.only_text(&HOST_BLOCKS);
+        let common = host_text(&host_blocks, &more, 0, &day, None, None);
+        let before = common.lines().count() - host_blocks.lines().count();
+        let settings = HostSettings::parse(file, &common)
+            .map_err(|e| ConfigError { line: e.line.saturating_sub(before), ..e })?;
         let mut nodes = Vec::new();
         for f in doc.blocks::<NodesBlock>("nodes", true)? {
             if f.value.shards.is_empty() {
@@ -391,7 +431,7 @@
             troubles.push(Trouble { name, at_s: t.at_s.max(0.0), for_s: t.for_s.max(0.0), action });
         }
         let list_late_s = list.late_s;
-        Ok(Script { day, nodes, list_late_s, traffic, troubles, settings, host_blocks: host_blocks.0 })
+        Ok(Script { day, nodes, list_late_s, traffic, troubles, settings, host_blocks })
     }
 
     /// The settings file of one host.
--- a/crates/host/src/core_thread.rs
+++ b/crates/host/src/core_thread.rs
@@ -224,6 +224,7 @@
                     }
                 }
                 Output::Cancel { node, leg } => self.links.cancel(node, leg),
+                Output::Cut { node, leg } => self.links.cut(node, leg),
                 Output::Answer { to, verdict } => {
                     let Some((sender, close)) = self.sessions.get(&to.session) else { continue };
                     let full = sender.try_send(ToSession::Answer { command: to.command, verdict });
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant as Wall};
 use tackmast::interface::{NodeId, Outcome, Span};
 use tackmast_config::HostSettings;
-use tackmast_hostcore::{LegBack, LegId, LegWork, SendLeg};
+use tackmast_hostcore::{LegBack, LegId, LegWork, SendLeg, Ticket};
 use tackmast_wire::node::{self, Frame, NodeOutcome, Origin};
 
 /// Bytes gathered for one write. What is gathered has been claimed and will leave, so it is little.
@@ -22,12 +22,20 @@
     Cancel(LegId),
 }
 
+/// The connection a link has at the moment, for those who must end it while its thread writes.
+type Current = Arc<Mutex<Option<TcpStream>>>;
+
+struct Slot {
+    to: Sender<ToLink>,
+    current: Current,
+}
+
 pub struct Links {
     settings: Arc<HostSettings>,
     clock: Clock,
     events: Sender<Event>,
     life: u64,
-    nodes: HashMap<NodeId, Vec<Sender<ToLink>>>,
+    nodes: HashMap<NodeId, Vec<Slot>>,
 }
 
 impl Links {
@@ -46,14 +54,22 @@
             let Some(links) = self.open(node, address) else { return false };
             self.nodes.insert(node, links);
         }
-        self.nodes.get(&node).is_some_and(|links| links[slot].try_send(ToLink::Send(leg)).is_ok())
+        self.nodes.get(&node).is_some_and(|links| links[slot].to.try_send(ToLink::Send(leg)).is_ok())
     }
 
     pub fn cancel(&mut self, node: NodeId, leg: LegId) {
         let slot = self.slot(leg);
         if let Some(links) = self.nodes.get(&node) {
             // Without room the node works on in vain; the leg has had its end here.
-            _ = links[slot].try_send(ToLink::Cancel(leg));
+            _ = links[slot].to.try_send(ToLink::Cancel(leg));
+        }
+    }
+
+    /// Ends the connection that carries this leg; bytes that have not left never will.
+    pub fn cut(&mut self, node: NodeId, leg: LegId) {
+        let slot = self.slot(leg);
+        if let Some(stream) = self.nodes.get(&node).and_then(|links| lock(&links[slot].current).take()) {
+            reset(&stream);
         }
     }
 
@@ -61,7 +77,7 @@
         self.nodes.retain(|n, _| !gone(*n));
     }
 
-    fn open(&self, node: NodeId, address: &str) -> Option<Vec<Sender<ToLink>>> {
+    fn open(&self, node: NodeId, address: &str) -> Option<Vec<Slot>> {
         let Ok(parsed) = address.parse::<SocketAddr>() else {
             tracing::warn!(node = address, "node address: {address}; expected an IP address and a port");
             return None;
@@ -77,14 +93,17 @@
                 events: self.events.clone(),
                 life: self.life,
                 ping: crossbeam_channel::bounded(1),
+                current: Current::default(),
+                writing: Vec::new(),
                 up: None,
             };
+            let current = link.current.clone();
             let name = format!("link {} {slot}", node.0);
             if let Err(e) = crate::thread(name, move || link.run(&from)) {
                 tracing::warn!(node = address, "{e}");
                 return None;
             }
-            links.push(to);
+            links.push(Slot { to, current });
         }
         Some(links)
     }
@@ -109,8 +128,11 @@
     clock: Clock,
     events: Sender<Event>,
     life: u64,
-    /// By this the reader asks for a ping.
+    /// By this the reader asks for a ping, or says that the connection is broken.
     ping: (Sender<()>, Receiver<()>),
+    current: Current,
+    /// Legs whose bytes are gathered or being written.
+    writing: Vec<Ticket>,
     up: Option<Up>,
 }
 
@@ -119,9 +141,15 @@
     _ = events.send(Event::LegBack(back));
 }
 
+/// Ends a connection, and drops what the socket has not sent: a plain shutdown would still deliver it.
+fn reset(stream: &TcpStream) {
+    _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    _ = stream.shutdown(Shutdown::Both);
+}
+
 /// The connection is of no use any more: all that was claimed may have run.
 fn break_off(stream: &TcpStream, out: &Outstanding, events: &Sender<Event>) {
-    _ = stream.shutdown(Shutdown::Both);
+    reset(stream);
     let legs = lock(out).take();
     for leg in legs.into_iter().flatten() {
         back(events, leg, Outcome::Reset);
@@ -141,7 +169,9 @@
                 recv(pings) -> _ => None,
             };
             let mut bytes = BytesMut::new();
-            if first.is_none() {
+            if self.up.as_ref().is_some_and(|up| lock(&up.out).is_none()) {
+                self.down();
+            } else if first.is_none() && self.up.is_some() {
                 Frame::Ping { number: 0 }.encode(&mut bytes);
             }
             let mut next = first;
@@ -151,20 +181,31 @@
             }
             let Some(up) = &mut self.up else { continue };
             if !bytes.is_empty() {
-                if let Err(e) = up.stream.write_all(&bytes) {
-                    tracing::debug!(node = %self.address, "link write: {e}");
-                    break_off(&up.stream, &up.out, &self.events);
-                    self.up = None;
+                match up.stream.write_all(&bytes) {
+                    Ok(()) => self.writing.iter().for_each(Ticket::written),
+                    Err(e) => {
+                        tracing::debug!(node = %self.address, "link write: {e}");
+                        break_off(&up.stream, &up.out, &self.events);
+                        self.down();
+                    }
                 }
             }
+            self.writing.clear();
         }
     }
 
+    /// Lets go of a broken connection. Only when nobody holds it any more is the peer told, and what the socket
+    /// had not sent dropped.
+    fn down(&mut self) {
+        self.up = None;
+        lock(&self.current).take();
+    }
+
     fn gather(&mut self, message: ToLink, bytes: &mut BytesMut) {
         match message {
             ToLink::Send(leg) => {
                 if self.up.as_ref().is_some_and(|up| lock(&up.out).is_none()) {
-                    self.up = None;
+                    self.down();
                     bytes.clear();
                 }
                 if self.up.is_none() {
@@ -189,6 +230,7 @@
                     // Broken since it was looked at: claimed, but no byte of it has left.
                     None => return back(&self.events, leg.leg, Outcome::Refused),
                 }
+                self.writing.push(leg.ticket.clone());
                 self.frame(*leg).encode(bytes);
             }
             ToLink::Cancel(leg) => {
@@ -201,12 +243,14 @@
     }
 
     fn frame(&self, leg: SendLeg) -> Frame {
-        let left = (leg.until - self.clock.now()).secs().max(0.0);
+        let now = self.clock.now();
+        let left = (leg.until - now).secs().max(0.0);
         Frame::Send(node::SendLeg {
             leg: leg.leg.0,
             xfer: leg.xfer,
             leg_no: leg.leg_no,
             origin: Origin { session: leg.from.session, command: leg.from.command, part: leg.part },
+            sent_us: self.clock.unix_us(now),
             left_us: (left * 1e6).min(f64::from(u32::MAX)) as u32,
             mark: leg.mark,
             key: leg.key,
@@ -227,10 +271,13 @@
         let until = Wall::now() + patience;
         let mut stream =
             TcpStream::connect_timeout(&self.address, patience).map_err(|e| format!("connect: {e}"))?;
+        // What a socket has taken can't be taken back, so it takes little.
+        _ = socket2::SockRef::from(&stream).set_send_buffer_size(b.link_bytes as usize / 2);
         let set = stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(silence)));
         set.map_err(|e| format!("socket: {e}"))?;
-        let hello =
-            Frame::HostHello { version: node::VERSION, host: self.settings.host.number, life: self.life };
+        let (host, life) = (self.settings.host.number, self.life);
+        let sent_us = self.clock.unix_us(self.clock.now());
+        let hello = Frame::HostHello { version: node::VERSION, host, life, sent_us };
         stream.write_all(&hello.to_bytes()).map_err(|e| format!("hello: {e}"))?;
         let mut frames = node::frames(b.command_bytes as usize);
         let mut buffer = [0; 4096];
@@ -264,6 +311,7 @@
         let name = format!("answers {}", self.node.0);
         let reader = move || read(reading, frames, &their_out, &events, &pings);
         crate::thread(name, reader).map_err(|e| e.to_string())?;
+        *lock(&self.current) = stream.try_clone().ok();
         Ok(Up { stream, out })
     }
 }
@@ -333,4 +381,6 @@
         }
     }
     break_off(&stream, out, events);
+    // The writer holds the connection too, and may have nothing to write for long.
+    _ = pings.try_send(());
 }
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -14,6 +14,9 @@
 /// A list's time of a start and the node's own word differ by the way of a message; less is no news.
 const START_NEWS: f64 = 0.5; // seconds
 
+/// Part of the grace of a drain after which links that still write to the node are cut.
+const GRACE_PART: f64 = 0.5;
+
 /// A client's command: its session at this host, and its number within that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CommandRef {
@@ -76,6 +79,12 @@
         node: NodeId,
         leg: LegId,
     },
+    /// The same, and its link is still writing it to a node that takes no bytes: what has not left by now must
+    /// not leave later, so the connection ends here.
+    Cut {
+        node: NodeId,
+        leg: LegId,
+    },
     Answer {
         to: CommandRef,
         verdict: Verdict,
@@ -116,6 +125,7 @@
     pub further_legs: u64,
     pub timed_out: u64,
     pub withdrawn: u64,
+    pub cut: u64,
     pub strays: u64,
     pub short_answers: u64,
     pub nodes_over_bound: u64,
@@ -174,6 +184,8 @@
     serial: u64,
     at_node: HashMap<NodeId, BTreeSet<(XferId, u32)>>, // legs out
     until: BTreeSet<(Instant, XferId, u32)>,           // the same, by the end of their time
+    grace: Span,
+    cuts: BTreeSet<(Instant, NodeId)>, // when what is still being written to a node that drains is cut off
     list_version: u64,
     outputs: VecDeque<Output>,
     pub counters: Counters,
@@ -215,6 +227,8 @@
             serial: 0,
             at_node: HashMap::new(),
             until: BTreeSet::new(),
+            grace: Span::from_secs(s.load.drain_grace_ms / 1e3 * GRACE_PART),
+            cuts: BTreeSet::new(),
             list_version: 0,
             outputs: VecDeque::new(),
             counters: Counters::default(),
@@ -406,6 +420,9 @@
         // What still waits on a link to a node that drains must not reach it after the grace.
         for node in stopped {
             self.withdraw_at(now, node);
+            if !self.cuts.iter().any(|(_, n)| *n == node) {
+                self.cuts.insert((now + self.grace, node));
+            }
         }
     }
 
@@ -429,9 +446,21 @@
 
     /// Time has passed: legs whose time is up end.
     pub fn tick(&mut self, now: Instant) {
+        while let Some((_, node)) = self.cuts.first().copied().filter(|(t, _)| *t <= now) {
+            self.cuts.pop_first();
+            let stopped = self.nodes.state(node).is_some_and(|s| s != NodeState::Ready);
+            for (id, no) in self.at_node.get(&node).cloned().unwrap_or_default() {
+                let leg = self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no));
+                if stopped && leg.is_some_and(|o| o.ticket.is_stuck()) {
+                    self.counters.cut += 1;
+                    self.outputs.push_back(Output::Cut { node, leg: leg_id(id, no) });
+                }
+            }
+        }
         while let Some((_, id, no)) = self.until.first().copied().filter(|(t, _, _)| *t <= now) {
             let leg = self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no));
-            let Some((node, unsent)) = leg.map(|o| (o.node, o.ticket.withdraw())) else {
+            let Some((node, unsent, stuck)) = leg.map(|o| (o.node, o.ticket.withdraw(), o.ticket.is_stuck()))
+            else {
                 self.until.pop_first();
                 continue;
             };
@@ -440,7 +469,7 @@
                 true => self.counters.withdrawn += 1,
                 false => {
                     self.counters.timed_out += 1;
-                    self.outputs.push_back(Output::Cancel { node, leg: leg_id(id, no) });
+                    self.push_cancel(node, leg_id(id, no), stuck);
                 }
             }
             self.leg_over(now, id, no, outcome, None, Bytes::new());
@@ -468,7 +497,8 @@
     /// When to come back if nothing else happens before.
     pub fn next_wake(&self) -> Option<Instant> {
         let leg = self.until.first().map(|(t, _, _)| *t);
-        [leg, self.scheduler.next_wake()].into_iter().flatten().min()
+        let cut = self.cuts.first().map(|(t, _)| *t);
+        [leg, cut, self.scheduler.next_wake()].into_iter().flatten().min()
     }
 
     fn carry_out(&mut self, now: Instant, decision: Decision) {
@@ -594,11 +624,18 @@
 
     /// Nobody waits for the legs that are out: their nodes need not go on.
     fn call_back(&mut self, id: XferId) {
-        for o in self.xfers.get(&id).map_or(&[][..], |x| &x.out) {
-            self.outputs.push_back(Output::Cancel { node: o.node, leg: leg_id(id, o.no) });
+        let out = self.xfers.get(&id).map_or(&[][..], |x| &x.out);
+        let legs: Vec<_> = out.iter().map(|o| (o.node, leg_id(id, o.no), o.ticket.is_stuck())).collect();
+        for (node, leg, stuck) in legs {
+            self.push_cancel(node, leg, stuck);
         }
     }
 
+    fn push_cancel(&mut self, node: NodeId, leg: LegId, stuck: bool) {
+        self.counters.cut += u64::from(stuck);
+        self.outputs.push_back(if stuck { Output::Cut { node, leg } } else { Output::Cancel { node, leg } });
+    }
+
     /// The transfer of one part has its end.
     fn part_over(&mut self, now: Instant, id: XferId, mut end: PartEnd, data: Bytes) {
         let Some((from, part)) = self.xfers.get(&id).filter(|x| !x.answered).map(|x| (x.from, x.part)) else {
--- a/crates/hostcore/src/nodes.rs
+++ b/crates/hostcore/src/nodes.rs
@@ -78,6 +78,10 @@
         self.known.get(node.0 as usize).map(|k| k.address.as_str())
     }
 
+    pub fn state(&self, node: NodeId) -> Option<NodeState> {
+        self.known.get(node.0 as usize).map(|k| k.entry.state)
+    }
+
     pub fn number(&self, address: &str) -> Option<NodeId> {
         self.numbers.get(address).copied()
     }
--- a/crates/hostcore/src/ticket.rs
+++ b/crates/hostcore/src/ticket.rs
@@ -9,23 +9,33 @@
 const QUEUED: u8 = 0;
 const CLAIMED: u8 = 1;
 const WITHDRAWN: u8 = 2;
+const WRITTEN: u8 = 3;
 
 #[derive(Clone, Debug, Default)]
 pub struct Ticket(Arc<AtomicU8>);
 
 impl Ticket {
-    fn swap(&self, to: u8) -> bool {
-        self.0.compare_exchange(QUEUED, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    fn swap(&self, from: u8, to: u8) -> bool {
+        self.0.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
     /// The link may write the leg now; false: it was withdrawn, or claimed before.
     pub fn claim(&self) -> bool {
-        self.swap(CLAIMED)
+        self.swap(QUEUED, CLAIMED)
     }
     /// True: no byte of the leg has left, and none will.
     pub fn withdraw(&self) -> bool {
-        self.swap(WITHDRAWN)
+        self.swap(QUEUED, WITHDRAWN)
     }
+    /// The link has handed all bytes of the leg over.
+    pub fn written(&self) {
+        self.swap(CLAIMED, WRITTEN);
+    }
+    /// Whether bytes of it may have left.
     pub fn is_claimed(&self) -> bool {
+        matches!(self.0.load(Ordering::Acquire), CLAIMED | WRITTEN)
+    }
+    /// Whether its link is still at it: the node takes no bytes.
+    pub fn is_stuck(&self) -> bool {
         self.0.load(Ordering::Acquire) == CLAIMED
     }
 }
@@ -40,7 +50,9 @@
             let t = Ticket::default();
             assert!(if claim_first { t.claim() } else { t.withdraw() });
             assert!(!t.claim() && !t.withdraw());
-            assert_eq!(t.is_claimed(), claim_first);
+            assert_eq!((t.is_claimed(), t.is_stuck()), (claim_first, claim_first));
+            t.written();
+            assert_eq!((t.is_claimed(), t.is_stuck()), (claim_first, false));
         }
     }
 }
--- a/crates/rulecheck/src/index.rs
+++ b/crates/rulecheck/src/index.rs
@@ -29,7 +29,6 @@
     pub key: u64,
     pub left_us: u64,
     pub end: Option<(u64, LegEndKind, bool)>,
-    pub cancel: Option<u64>,
     pub link_down: Option<u64>,
     /// The command it belongs to, among `commands`.
     pub command: Option<usize>,
@@ -38,7 +37,8 @@
 impl Leg {
     /// When its host has had the end of it, and whether the work may go on after that.
     pub fn over(&self) -> (u64, bool) {
-        let unknown = [Some(self.t + self.left_us), self.cancel, self.link_down];
+        // A cancel ends nothing: its host still waits for the node's word, until the leg's time is up.
+        let unknown = [Some(self.t + self.left_us), self.link_down];
         let unknown = unknown.into_iter().flatten().min().unwrap_or(u64::MAX);
         match self.end {
             Some((t, _, _)) if t <= unknown => (t, false),
@@ -116,7 +116,7 @@
             }
             last = t;
             match &line.event {
-                Event::Facts(_) | Event::Trouble { .. } | Event::NodeDown { .. } => {}
+                Event::Facts(_) | Event::Trouble { .. } | Event::NodeDown { .. } | Event::Cancel { .. } => {}
                 Event::Truncated => x.unfit = Some("events were lost when it was recorded".into()),
                 Event::Submit { host, session, command, stream, expiry_us, .. } => {
                     let name = (*host, *session, *command);
@@ -186,7 +186,6 @@
                         key: *key,
                         left_us: *left_us,
                         end: None,
-                        cancel: None,
                         link_down: None,
                         command: belongs,
                     });
@@ -196,11 +195,6 @@
                         x.legs[*l].end = x.legs[*l].end.or(Some((t, *kind, *ran)));
                     }
                 }
-                Event::Cancel { node, name } => {
-                    if let Some(l) = legs_of.get(&(node.clone(), *name)) {
-                        x.legs[*l].cancel = x.legs[*l].cancel.or(Some(t));
-                    }
-                }
                 Event::LinkDown { node, legs, .. } => {
                     for name in legs {
                         if let Some(l) = legs_of.get(&(node.clone(), *name)) {
--- a/crates/rulecheck/tests/doctored.rs
+++ b/crates/rulecheck/tests/doctored.rs
@@ -220,8 +220,13 @@
         }),
         ("no rest after a time-out", 5, |s| {
             s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 1, 0, 2, 1, 9);
-            s.at(200, Event::Cancel { node: "a".into(), name: name(1, 0) }).answer(201, 1, Abandoned);
-            s.leg_of(400, "a", 2, 0, 2, 1, 9).end(410, "a", 2, 0, LegEndKind::Done).answer(411, 2, Done);
+            s.answer(201, 1, Abandoned).submit(1000, 3, 0).answer(1010, 3, Done);
+            s.leg_of(900, "a", 2, 0, 2, 1, 9).end(910, "a", 2, 0, LegEndKind::Done).answer(911, 2, Done);
+        }),
+        ("no rest after a lost link", 5, |s| {
+            s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 1, 0, 2, 1, 9).answer(201, 1, Abandoned);
+            s.at(200, Event::LinkDown { node: "a".into(), host: 0, life: 77, legs: vec![name(1, 0)] });
+            s.leg_of(600, "a", 2, 0, 2, 1, 9).end(610, "a", 2, 0, LegEndKind::Done).answer(611, 2, Done);
         }),
         ("overtaken", 5, |s| {
             s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 2, 0, 2, 1, 9);
@@ -230,8 +235,11 @@
         }),
         ("in turn, after the rest", 0, |s| {
             s.submit(100, 1, 1).submit(150, 2, 1).leg_of(101, "a", 1, 0, 2, 1, 9);
-            s.at(200, Event::Cancel { node: "a".into(), name: name(1, 0) }).answer(201, 1, Abandoned);
-            s.leg_of(710, "a", 2, 0, 2, 1, 9).end(715, "a", 2, 0, LegEndKind::Done).answer(716, 2, Done);
+            s.at(200, Event::LinkDown { node: "a".into(), host: 0, life: 77, legs: vec![name(1, 0)] });
+            s.answer(201, 1, Abandoned)
+                .leg_of(710, "a", 2, 0, 2, 1, 9)
+                .end(715, "a", 2, 0, LegEndKind::Done)
+                .answer(716, 2, Done);
         }),
         ("too many further legs", 6, |s| {
             for c in 1..=3 {
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -55,6 +55,8 @@
     pub window_s: f64,
     /// Whether it starts cold.
     pub cold: bool,
+    /// Bytes that its sockets take while it does not read; 0: as many as the system likes.
+    pub receive_bytes: usize,
     pub recorder: Recorder,
 }
 
@@ -149,6 +151,8 @@
     host: u32,
     life: u64,
     quiet: bool,
+    /// Least difference seen between this node's clock and the host's.
+    offset: i64,
 }
 
 #[derive(Default)]
@@ -195,7 +199,7 @@
 
 impl Node {
     pub fn start(settings: NodeSettings) -> io::Result<Node> {
-        let listener = TcpListener::bind(settings.address)?;
+        let listener = listener(&settings)?;
         let address = listener.local_addr()?;
         let now = now_us();
         let model = Model::new(now, settings.nature.clone(), settings.seed, settings.cold);
@@ -301,6 +305,42 @@
     }
 }
 
+fn listener(s: &NodeSettings) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(s.address)?;
+    if s.receive_bytes > 0 {
+        // Connections inherit it.
+        socket2::SockRef::from(&listener).set_recv_buffer_size(s.receive_bytes)?;
+    }
+    Ok(listener)
+}
+
+/// When bytes came to a socket that nobody read: the time, and how many had come by then.
+#[derive(Default)]
+struct Unread {
+    come: Vec<(Us, u64)>,
+    /// When the peer reset the connection.
+    ended: Option<Us>,
+}
+
+impl Unread {
+    /// Looks, without reading, at what has come beside the `read` bytes.
+    fn look(&mut self, stream: &TcpStream, buffer: &mut [u8], read: u64) {
+        if let Ok(n) = stream.peek(buffer) {
+            let come = read + n as u64;
+            if self.come.last().is_none_or(|(_, c)| *c < come) {
+                self.come.push((now_us(), come));
+            }
+        }
+        if let Ok(Some(_)) = stream.take_error() {
+            self.ended = self.ended.or(Some(now_us()));
+        }
+    }
+    /// When the byte before this one had come.
+    fn came(&self, end: u64) -> Option<Us> {
+        self.come.iter().find(|(_, come)| *come >= end).map(|(t, _)| *t)
+    }
+}
+
 impl Inner {
     fn name(&self) -> String {
         self.address.to_string()
@@ -344,7 +384,8 @@
         }
         let until = std::time::Instant::now() + Duration::from_secs(5);
         let listener = loop {
-            match TcpListener::bind(self.address) {
+            let settings = NodeSettings { address: self.address, ..self.settings.clone() };
+            match listener(&settings) {
                 Ok(l) => break l,
                 Err(_) if std::time::Instant::now() < until => std::thread::sleep(Duration::from_millis(10)),
                 Err(_) => return,
@@ -469,25 +510,38 @@
             let mut s = lock(&self.state);
             s.next += 1;
             let number = s.next;
-            s.conns.insert(number, Conn { to: to.clone(), stream: clone, host: 0, life: 0, quiet: true });
+            s.conns.insert(
+                number,
+                Conn { to: to.clone(), stream: clone, host: 0, life: 0, quiet: true, offset: i64::MAX },
+            );
             number
         };
         let mut frames = wire::frames(self.settings.most_data);
         let mut buffer = vec![0; 64 << 10];
+        let mut total = 0u64;
+        let mut unread = Unread::default();
+        _ = stream.set_read_timeout(Some(Duration::from_millis(2)));
         'link: loop {
-            // A node that stops reading leaves the bytes to the sockets.
+            // A node that stops reading leaves the bytes to the sockets, and remembers when they came.
             while lock(&self.state).ills.deaf && !self.over.load(Ordering::Acquire) {
-                std::thread::sleep(Duration::from_millis(5));
+                let mut look = vec![0; 1 << 20];
+                unread.look(&stream, &mut look, total);
+                std::thread::sleep(Duration::from_millis(2));
             }
             let n = match stream.read(&mut buffer) {
-                Ok(0) | Err(_) => break,
+                Ok(0) => break,
                 Ok(n) => n,
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
+                Err(_) => break,
             };
+            total += n as u64;
             frames.push(&buffer[..n]);
             loop {
                 match wire::next(&mut frames) {
                     Ok(Some(frame)) => {
-                        if !self.frame(number, frame, &to) {
+                        let end = total - frames.partial() as u64;
+                        let came = unread.came(end).unwrap_or_else(now_us);
+                        if !self.frame(number, frame, &to, came) {
                             break 'link;
                         }
                     }
@@ -500,17 +554,13 @@
         let mut s = lock(&self.state);
         if let Some(c) = s.conns.remove(&number) {
             let legs = s.held.values().filter(|h| h.conn == number).map(|h| h.name).collect();
-            self.settings.recorder.note(Event::LinkDown {
-                node: self.name(),
-                host: c.host,
-                life: c.life,
-                legs,
-            });
+            let event = Event::LinkDown { node: self.name(), host: c.host, life: c.life, legs };
+            self.settings.recorder.note_at(unread.ended.unwrap_or_else(now_us), event);
         }
     }
 
     /// False: the connection is at its end.
-    fn frame(&self, conn: u64, frame: Frame, to: &Sender<Bytes>) -> bool {
+    fn frame(&self, conn: u64, frame: Frame, to: &Sender<Bytes>, came: Us) -> bool {
         let mut s = lock(&self.state);
         if !s.up {
             return false;
@@ -518,10 +568,11 @@
         let now = now_us();
         let silent = s.ills.silent;
         match frame {
-            Frame::HostHello { version, host, life } => {
+            Frame::HostHello { version, host, life, sent_us } => {
                 let Ok(version) = wire::agree(version) else { return false };
                 if let Some(c) = s.conns.get_mut(&conn) {
                     (c.host, c.life, c.quiet) = (host, life, false);
+                    c.offset = now as i64 - sent_us as i64;
                 }
                 let (shard, zone) = (self.settings.shard, self.settings.zone);
                 let up_us = now.saturating_sub(s.started);
@@ -534,11 +585,15 @@
                     return false;
                 };
                 let name = LegName { host, life, xfer: leg.xfer, leg: leg.leg_no };
+                let offset = s.conns.get_mut(&conn).map_or(0, |c| {
+                    c.offset = c.offset.min(now as i64 - leg.sent_us as i64);
+                    c.offset
+                });
                 let (write, bytes) = match &leg.work {
                     Work::Read { length } => (false, u64::from(*length)),
                     Work::Write { data } => (true, data.len() as u64),
                 };
-                self.settings.recorder.note(Event::Leg {
+                let leg_event = Event::Leg {
                     node: self.name(),
                     name,
                     session: leg.origin.session,
@@ -552,7 +607,8 @@
                     key: leg.key,
                     mark: format!("{:x}", leg.mark),
                     left_us: u64::from(leg.left_us),
-                });
+                };
+                self.settings.recorder.note_at(came, leg_event);
                 if silent {
                     return true;
                 }
@@ -564,7 +620,7 @@
                     write,
                     key: leg.key ^ leg.offset << 8,
                     further: leg.leg_no > 0,
-                    until: now + u64::from(leg.left_us),
+                    until: (leg.sent_us as i64 + offset).max(0) as u64 + u64::from(leg.left_us),
                 };
                 s.held.insert(id, Held { conn, leg, name });
                 s.model.arrive(now, job);
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -219,8 +219,12 @@
 
 impl Recorder {
     pub fn note(&self, event: Event) {
+        self.note_at(now_us(), event);
+    }
+
+    /// Notes what is known to have been at an earlier time.
+    pub fn note_at(&self, t: u64, event: Event) {
         let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let t = now_us();
         match lines.len() {
             n if n < MOST => lines.push(Line { t, event }),
             MOST => lines.push(Line { t, event: Event::Truncated }),
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -32,7 +32,10 @@
     pub xfer: u64,
     pub leg_no: u8,
     pub origin: Origin,
-    /// Microseconds until nobody waits for the answer.
+    /// When it was written, on the host's own clock, and microseconds from then until nobody waits for the
+    /// answer. The node takes the least difference it has seen between its clock and the host's as their offset,
+    /// so that a leg which waited in a socket is known to be old, without clocks that agree.
+    pub sent_us: u64,
     pub left_us: u32,
     /// A repeat of the same mark within the node's window must not run again; 0: none.
     pub mark: u128,
@@ -71,10 +74,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
     /// First frame of a host: its number, and a number of its own for each life.
+    /// `sent_us` as in a leg.
     HostHello {
         version: u16,
         host: u32,
         life: u64,
+        sent_us: u64,
     },
     /// The node's reply: the version both will speak, when it started by its own clock (Unix time, which names
     /// this life of it), and for how long it has been up, which needs no clocks to agree.
@@ -104,11 +109,12 @@
         let start = out.len();
         out.put_u32(0);
         match self {
-            Frame::HostHello { version, host, life } => {
+            Frame::HostHello { version, host, life, sent_us } => {
                 out.put_u8(1);
                 out.put_u16(*version);
                 out.put_u32(*host);
                 out.put_u64(*life);
+                out.put_u64(*sent_us);
             }
             Frame::NodeHello { version, shard, zone, started_us, up_us } => {
                 out.put_u8(2);
@@ -126,6 +132,7 @@
                 out.put_u32(s.origin.session);
                 out.put_u32(s.origin.command);
                 out.put_u16(s.origin.part);
+                out.put_u64(s.sent_us);
                 out.put_u32(s.left_us);
                 out.put_u128(s.mark);
                 out.put_u64(s.key);
@@ -185,7 +192,12 @@
     pub fn decode(frame: Bytes) -> Result<Frame, WireError> {
         let mut f = Fields(frame);
         let found = match f.u8("kind")? {
-            1 => Frame::HostHello { version: f.u16("version")?, host: f.u32("host")?, life: f.u64("life")? },
+            1 => Frame::HostHello {
+                version: f.u16("version")?,
+                host: f.u32("host")?,
+                life: f.u64("life")?,
+                sent_us: f.u64("time sent")?,
+            },
             2 => Frame::NodeHello {
                 version: f.u16("version")?,
                 shard: f.u32("shard")?,
@@ -202,6 +214,7 @@
                     command: f.u32("command")?,
                     part: f.u16("part")?,
                 },
+                sent_us: f.u64("time sent")?,
                 left_us: f.u32("time left")?,
                 mark: u128::from(f.u64("mark")?) << 64 | u128::from(f.u64("mark")?),
                 key: f.u64("key")?,
--- /dev/null
+++ b/days/second-leg.hcl
@@ -0,0 +1,36 @@
+# A transfer needs a second leg: after an error, a refused connection, a reset in the middle of an answer. It never
+# overlaps the first, and keyed and unrepeatable transfers get one only where the rules allow it.
+
+day {
+  base      = "pool.hcl"
+  seconds   = 5
+  hosts     = 2
+  seed      = 3
+  exercises = [1, 2, 5, 6, 7]
+}
+
+trouble "errors" {
+  at_s  = 0.5
+  for_s = 1.5
+  nodes = ["a/0", "b/3"]
+  fault = "errors 0.4"
+}
+
+trouble "answers cut by resets" {
+  at_s  = 1.5
+  for_s = 1.5
+  nodes = ["a/1", "b/2"]
+  fault = "reset-answers 0.2"
+}
+
+trouble "refused connections" {
+  at_s  = 3
+  nodes = ["a/0"]
+  fault = "restart 0.4"
+}
+
+trouble "all links of a node are reset" {
+  at_s  = 3.6
+  nodes = ["b"]
+  fault = "reset"
+}
