--- /dev/null
+++ b/crates/cli/tests/days.rs
@@ -0,0 +1,72 @@
+//! The hard cases as days: each must keep every rule, return the right bytes, and exercise what it is for. One at a
+//! time, so that a busy machine does not become a trouble of its own.
+
+use std::path::Path;
+use std::process::Command;
+use std::sync::{Mutex, PoisonError};
+
+static ONE: Mutex<()> = Mutex::new(());
+
+fn plays(day: &str) {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let out = Command::new(env!("CARGO_BIN_EXE_tackmast"))
+        .current_dir(root)
+        .args(["day", &format!("days/{day}.hcl")])
+        .output()
+        .expect("the command runs");
+    let text = String::from_utf8_lossy(&out.stdout);
+    let errors = String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.success(), "{day}:\n{text}\n{errors}");
+}
+
+macro_rules! days {
+    ($($name:ident = $file:literal),* $(,)?) => {$(
+        #[test]
+        fn $name() {
+            plays($file);
+        }
+    )*};
+}
+
+days! {
+    the_first_day = "first",
+    a_drain_with_transfers_queued_and_on_the_wire = "drain",
+    second_legs_never_overlap_nor_repeat_an_effect = "second-leg",
+    hosts_killed_and_restarted_under_load = "host-kill",
+    all_nodes_restart_while_the_list_is_stale = "mass-restart",
+    clients_that_leave_and_break_the_protocol = "bad-clients",
+    order_with_time_outs_in_the_middle = "order",
+    what_only_sockets_have = "sockets",
+}
+
+#[test]
+fn a_wrong_script_and_wrong_settings_get_one_clear_error() {
+    let dir = tempfile::tempdir().unwrap();
+    let case = |name: &str, text: &str, args: &[&str]| {
+        let file = dir.path().join(name);
+        std::fs::write(&file, text).unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_tackmast")).args(args).arg(&file).output().unwrap();
+        assert_eq!(out.status.code(), Some(2), "{name}");
+        String::from_utf8_lossy(&out.stderr).trim().replace(&format!("{}", file.display()), name)
+    };
+    let day = |text: &str| case("d.hcl", text, &["day"]);
+    let config = |text: &str| case("c.hcl", text, &["config", "check"]);
+    assert_eq!(
+        day("day {\n  seconds = 0\n  hosts = 1\n}"),
+        "tackmast: d.hcl:2: day seconds: 0; expected a number from 0.1 to 3600"
+    );
+    assert_eq!(
+        config("units {\n  bytes = 4096\n  most = \"many\"\n  mean = 1\n}\nhost {\n  number = 0\n  hosts = 1\n  listen = \"127.0.0.1:0\"\n  node_list = \"127.0.0.1:1\"\n}"),
+        "tackmast: c.hcl:3: units most: invalid type: string \"many\", expected f64"
+    );
+    let found = config("host {");
+    assert!(
+        found.starts_with("tackmast: c.hcl:1: HCL: ") && found.ends_with("expected an HCL document"),
+        "{found}"
+    );
+    assert_eq!(
+        config("hots {}").split(';').next_back(),
+        Some(" expected one of host, bounds, units, load, further_legs, cold_nodes, stream, plan, volume")
+    );
+}
--- a/crates/hostcore/src/combine.rs
+++ b/crates/hostcore/src/combine.rs
@@ -6,10 +6,19 @@
 /// How far one part has come. `ran` tells whether a leg of it may have had an effect.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PartEnd {
-    Open { ran: bool },
+    Open {
+        ran: bool,
+    },
     Done,
-    Deferred { ran: bool, come_back: Option<Span> },
-    Abandoned,
+    Deferred {
+        ran: bool,
+        come_back: Option<Span>,
+    },
+    /// The module gave it up with a leg out that may have run. Where the links have proof that none of it ever
+    /// left, it is as good as deferred.
+    Abandoned {
+        ran: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,7 +47,8 @@
     let mut come_back: Option<Span> = None;
     for part in parts {
         match part {
-            PartEnd::Abandoned => return Some(Combined::Abandoned),
+            PartEnd::Abandoned { ran: true } => return Some(Combined::Abandoned),
+            PartEnd::Abandoned { ran: false } => undone = true,
             PartEnd::Deferred { come_back: wait, .. } => {
                 undone = true;
                 come_back = come_back.max(*wait);
@@ -50,8 +60,8 @@
         return parts.iter().all(|p| *p == PartEnd::Done).then_some(Combined::Done);
     }
     let ran = parts.iter().any(|p| match p {
-        PartEnd::Open { ran } | PartEnd::Deferred { ran, .. } => *ran,
-        PartEnd::Done | PartEnd::Abandoned => true,
+        PartEnd::Open { ran } | PartEnd::Deferred { ran, .. } | PartEnd::Abandoned { ran } => *ran,
+        PartEnd::Done => true,
     });
     Some(match again_is_safe(effect, client_marks) || !ran {
         true => Combined::Deferred { come_back },
@@ -85,11 +95,31 @@
                 deferred(Some(0.5)),
             ),
             ("no advice", re, false, &[late(true, None)], deferred(None)),
-            ("abandoned beats deferred", re, false, &[late(false, None), PartEnd::Abandoned], abandoned),
+            (
+                "abandoned beats deferred",
+                re,
+                false,
+                &[late(false, None), PartEnd::Abandoned { ran: true }],
+                abandoned,
+            ),
             ("repeatable, one part done", re, false, &[PartEnd::Done, late(false, None)], deferred(None)),
             ("unrepeatable, nothing ran", un, false, &[open, late(false, None)], deferred(None)),
             ("unrepeatable, a leg is out", un, false, &[out, late(false, None)], abandoned),
             ("unrepeatable, one part done", un, false, &[PartEnd::Done, late(false, None)], abandoned),
+            (
+                "given up, but nothing ever left",
+                un,
+                false,
+                &[PartEnd::Abandoned { ran: false }],
+                deferred(None),
+            ),
+            (
+                "given up, and another part ran",
+                un,
+                false,
+                &[PartEnd::Abandoned { ran: false }, PartEnd::Done],
+                abandoned,
+            ),
             ("keyed, the client marks", keyed(Group::All), true, &[late(true, None)], deferred(None)),
             ("keyed, only the host marks", keyed(Group::All), false, &[late(true, None)], abandoned),
             (
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -508,7 +508,9 @@
                 let end = PartEnd::Deferred { ran: true, come_back };
                 self.part_over(now, xfer, end, Bytes::new());
             }
-            Decision::Abandon { xfer } => self.part_over(now, xfer, PartEnd::Abandoned, Bytes::new()),
+            Decision::Abandon { xfer } => {
+                self.part_over(now, xfer, PartEnd::Abandoned { ran: true }, Bytes::new());
+            }
             Decision::FollowList => self.outputs.push_back(Output::FollowList { since: self.list_version }),
             Decision::Log(line) => {
                 // The module's lines name a node by its number, as their second word.
@@ -650,8 +652,10 @@
         for id in ids {
             self.withdraw_legs(now, id);
         }
-        if let (PartEnd::Deferred { ran, .. }, Some(x)) = (&mut end, self.xfers.get_mut(&id)) {
-            *ran = x.may_have_run();
+        if let Some(x) = self.xfers.get(&id) {
+            if let PartEnd::Deferred { ran, .. } | PartEnd::Abandoned { ran } = &mut end {
+                *ran = x.may_have_run();
+            }
         }
         self.xfers.entry(id).and_modify(|x| x.answered = true);
         self.call_back(id);
--- /dev/null
+++ b/crates/hostcore/tests/core.rs
@@ -0,0 +1,312 @@
+//! The host core alone, in virtual time: no sockets, links that do as the test says.
+
+use bytes::Bytes;
+use tackmast::interface::*;
+use tackmast_config::HostSettings;
+use tackmast_hostcore::*;
+
+const SETTINGS: &str = r#"
+host {
+  number = 0
+  hosts = 1
+  listen = "127.0.0.1:0"
+  node_list = "127.0.0.1:1"
+  answer_lead_ms = 0
+}
+bounds {
+  transfers = 12
+  nodes = 4
+}
+load {
+  longest_wait_s = 1
+  settle_s = 0.2
+}
+units {
+  bytes = 4096
+  most = 8
+  mean = 1
+}
+plan "basic" {}
+stream "read" {
+  slo_ms = 200
+  expiry_ms = 1000
+  effect = "repeatable"
+}
+stream "once" {
+  slo_ms = 200
+  expiry_ms = 1000
+  effect = "unrepeatable"
+}
+volume "v" {
+  lun = 1
+  plan = "basic"
+  blocks = 10000
+  extent_blocks = 10
+  shards = [0, 1]
+  hosts = 1
+  reads = "read"
+  writes = "once"
+}
+"#;
+
+struct Rig {
+    core: Core,
+    now: Instant,
+    sent: Vec<SendLeg>,
+    answers: Vec<(u32, Verdict)>,
+    other: Vec<Output>,
+}
+
+fn s(secs: f64) -> Span {
+    Span::from_secs(secs)
+}
+
+fn entry(address: &str, shard: u32, state: NodeState) -> ListEntry {
+    ListEntry { address: address.into(), state, zone: ZoneId(0), shard: ShardId(shard), up_since: None }
+}
+
+impl Rig {
+    fn new() -> Rig {
+        let settings = HostSettings::parse("test", SETTINGS).unwrap();
+        let now = Instant::from_secs(10.0);
+        let core = Core::new(now, &settings, 1, 99);
+        let mut rig = Rig { core, now, sent: vec![], answers: vec![], other: vec![] };
+        rig.pull();
+        let both = [entry("a", 0, NodeState::Ready), entry("b", 1, NodeState::Ready)];
+        rig.core.list_came(rig.now, ListKind::Complete, 0, 5, &both);
+        rig.pull();
+        rig.other.clear();
+        rig
+    }
+
+    fn pull(&mut self) {
+        self.core.tick(self.now);
+        while let Some(o) = self.core.next_output(self.now) {
+            match o {
+                Output::Send(leg) => self.sent.push(*leg),
+                Output::Answer { to, verdict } => self.answers.push((to.command, verdict)),
+                other => self.other.push(other),
+            }
+        }
+    }
+
+    /// Lets time pass, stopping whenever the core wants to be woken.
+    fn pass(&mut self, secs: f64) {
+        let until = self.now + s(secs);
+        while let Some(t) = self.core.next_wake().filter(|t| *t <= until) {
+            self.now = t.max(self.now + Span::from_secs(1e-6));
+            self.pull();
+        }
+        self.now = until;
+        self.pull();
+    }
+
+    fn ask(&mut self, command: u32, block: u64, blocks: u32, write: bool) {
+        let data = Bytes::from(vec![command as u8; blocks as usize * 512]);
+        let work = if write { Work::Write { data } } else { Work::Read { blocks } };
+        let from = CommandRef { session: 1, command };
+        self.core.submit(self.now, from, 1, block, work, self.now, None, None);
+        self.pull();
+    }
+
+    fn back(&mut self, leg: LegId, outcome: Outcome, bytes: usize) {
+        let data = Bytes::from(vec![1; bytes]);
+        self.core.leg_back(self.now, LegBack { leg, outcome, waiting: Some(0), elsewhere: Some(0.0), data });
+        self.pull();
+    }
+
+    /// The link writes all that it was given.
+    fn write(&mut self) -> Vec<LegId> {
+        let legs = std::mem::take(&mut self.sent);
+        let claimed = legs.into_iter().filter(|l| l.ticket.claim());
+        claimed.inspect(|l| l.ticket.written()).map(|l| l.leg).collect()
+    }
+
+    fn list(&mut self, from: u64, to: u64, entries: &[ListEntry]) {
+        self.core.list_came(self.now, ListKind::Changes, from, to, entries);
+        self.pull();
+    }
+
+    fn is_empty(&self) -> bool {
+        self.core.open() == (0, 0, 0)
+    }
+}
+
+fn deferred(v: &Verdict) -> bool {
+    matches!(v, Verdict::Deferred { .. })
+}
+
+#[test]
+fn a_command_over_three_extents_is_one_answer_in_order() {
+    let mut r = Rig::new();
+    r.ask(1, 5, 20, false);
+    let legs: Vec<(u64, LegWork, u16)> = r.sent.iter().map(|l| (l.offset, l.work.clone(), l.part)).collect();
+    let read = |blocks: u32| LegWork::Read { length: blocks * 512 };
+    assert_eq!(legs.len(), 3);
+    assert!(
+        legs.contains(&(2560, read(5), 0))
+            && legs.contains(&(5120, read(10), 1))
+            && legs.contains(&(10240, read(5), 2))
+    );
+    let mut out = r.sent.clone();
+    out.sort_by_key(|l| std::cmp::Reverse(l.part));
+    r.write();
+    for (i, l) in out.iter().enumerate() {
+        assert!(r.answers.is_empty(), "not before the last part");
+        let data = Bytes::from(vec![l.part as u8; if l.part == 1 { 5120 } else { 2560 }]);
+        let back = LegBack { leg: l.leg, outcome: Outcome::Done, waiting: None, elsewhere: None, data };
+        r.core.leg_back(r.now, back);
+        r.pull();
+        assert_eq!(r.answers.len(), usize::from(i == 2));
+    }
+    let Verdict::Done { data } = &r.answers[0].1 else { panic!("{:?}", r.answers) };
+    assert_eq!(data[..], [vec![0; 2560], vec![1; 5120], vec![2; 2560]].concat());
+    assert!(r.is_empty());
+}
+
+#[test]
+fn over_the_bound_is_deferred_with_a_time_and_nothing_is_lost() {
+    let mut r = Rig::new();
+    (0..15).for_each(|i| r.ask(i, u64::from(i) * 10, 1, false));
+    let over: Vec<u32> = r.answers.iter().map(|(c, _)| *c).collect();
+    assert_eq!(over, [12, 13, 14]);
+    for (_, v) in &r.answers {
+        assert!(matches!(v, Verdict::Deferred { come_back: Some(w) } if *w > Span::ZERO), "{v:?}");
+    }
+    r.pass(1.5);
+    assert_eq!((r.answers.len(), r.core.counters.over_bound), (15, 3), "each gets one answer");
+    assert!(r.is_empty());
+}
+
+#[test]
+fn what_was_never_written_never_ran() {
+    // An unrepeatable write whose leg waits behind a node that takes no bytes, against one that was written.
+    for written in [false, true] {
+        let mut r = Rig::new();
+        r.ask(1, 0, 1, true);
+        let ticket = r.sent[0].ticket.clone();
+        if written {
+            r.write();
+        }
+        r.pass(1.5);
+        let [(1, verdict)] = r.answers.as_slice() else { panic!("{:?}", r.answers) };
+        assert_eq!(deferred(verdict), !written, "written {written}: {verdict:?}");
+        assert!(written || !ticket.claim(), "and it can't leave any more");
+        assert!(r.is_empty(), "written {written}");
+    }
+}
+
+#[test]
+fn a_drain_takes_back_what_waits_and_cuts_what_is_stuck() {
+    let mut r = Rig::new();
+    (0..3).for_each(|i| r.ask(i, u64::from(i) * 20, 1, false));
+    assert_eq!(r.sent.len(), 3, "all at node a");
+    // The first is written, the second half-way, the third waits.
+    let tickets: Vec<Ticket> = r.sent.iter().map(|l| l.ticket.clone()).collect();
+    assert!(tickets[0].claim() && tickets[1].claim());
+    tickets[0].written();
+    let stuck = r.sent[1].leg;
+    r.sent.clear();
+    r.list(5, 6, &[entry("a", 0, NodeState::Draining)]);
+    assert!(!tickets[2].claim(), "taken back at once");
+    assert!(r.other.is_empty(), "the others have the grace");
+    r.pass(0.2);
+    let cuts: Vec<LegId> = r
+        .other
+        .iter()
+        .filter_map(|o| match o {
+            Output::Cut { leg, .. } => Some(*leg),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(cuts, [stuck]);
+    r.pass(1.5);
+    assert!(r.sent.is_empty(), "nothing new to a node that drains");
+    assert_eq!(r.answers.len(), 3);
+    assert!(r.is_empty());
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_and_its_leg_is_called_back() {
+    let mut r = Rig::new();
+    r.ask(1, 0, 1, false);
+    r.ask(2, 0, 1, false);
+    let legs = r.write();
+    r.core.abort(r.now, CommandRef { session: 1, command: 1 });
+    r.pull();
+    assert!(matches!(r.other.as_slice(), [Output::Cancel { leg, .. }] if *leg == legs[0]));
+    r.core.session_gone(r.now, 1);
+    r.pull();
+    assert_eq!((r.other.len(), r.core.counters.left), (2, 2));
+    // The legs still count until they are back.
+    assert_eq!(r.core.open(), (0, 2, 2));
+    r.back(legs[0], Outcome::Done, 512);
+    r.back(legs[1], Outcome::Full, 0);
+    assert!(r.is_empty() && r.answers.is_empty());
+}
+
+#[test]
+fn an_answer_that_is_too_short_or_comes_again_is_not_taken() {
+    let mut r = Rig::new();
+    r.ask(1, 0, 2, false);
+    let legs = r.write();
+    r.back(legs[0], Outcome::Done, 512);
+    assert!(r.answers.is_empty(), "1024 bytes were asked for");
+    assert_eq!(r.core.counters.short_answers, 1);
+    r.back(legs[0], Outcome::Done, 1024);
+    assert_eq!((r.answers.len(), r.core.counters.strays), (0, 1));
+    r.pass(0.1);
+    let again = r.write();
+    assert_eq!(again.len(), 1, "a repeatable read gets a further leg");
+    r.back(again[0], Outcome::Done, 1024);
+    assert!(matches!(r.answers.as_slice(), [(1, Verdict::Done { .. })]));
+    assert!(r.is_empty());
+}
+
+#[test]
+fn an_undone_part_settles_the_whole_command() {
+    // An unrepeatable write of two parts: the second is turned away after the first was done, or was never sent.
+    for first_done in [true, false] {
+        let mut r = Rig::new();
+        r.list(5, 6, &[entry("b", 1, NodeState::Draining)]);
+        r.ask(1, 8, 4, true);
+        assert_eq!(r.sent.len(), 1, "the part at b waits");
+        if first_done {
+            let legs = r.write();
+            r.back(legs[0], Outcome::Done, 0);
+        }
+        r.pass(1.5);
+        let [(1, verdict)] = r.answers.as_slice() else { panic!("{:?}", r.answers) };
+        assert_eq!(deferred(verdict), !first_done, "{verdict:?}");
+        assert!(r.is_empty());
+    }
+}
+
+#[test]
+fn changes_after_a_gap_count_and_the_complete_list_is_asked_for() {
+    let mut r = Rig::new();
+    r.list(5, 6, &[]);
+    assert!(r.other.is_empty());
+    r.list(8, 9, &[entry("a", 0, NodeState::Draining)]);
+    assert!(matches!(r.other.as_slice(), [Output::FetchList]));
+    r.ask(1, 0, 1, false);
+    assert!(r.sent.is_empty(), "the drain is known");
+    // A complete list that no longer names b: it is gone; c takes its shard.
+    let now = [entry("a", 0, NodeState::Ready), entry("c", 1, NodeState::Ready)];
+    r.core.list_came(r.now, ListKind::Complete, 0, 12, &now);
+    r.pull();
+    r.ask(2, 10, 1, false);
+    let nodes: Vec<&str> = r.sent.iter().map(|l| r.core.nodes().address(l.node).unwrap()).collect();
+    assert_eq!(nodes, ["a", "c"]);
+}
+
+#[test]
+fn nodes_over_the_bound_are_told_of() {
+    let mut r = Rig::new();
+    let many: Vec<ListEntry> = (0..4).map(|i| entry(&format!("n{i}"), i, NodeState::Ready)).collect();
+    r.list(5, 6, &many);
+    assert_eq!(r.core.counters.nodes_over_bound, 2);
+    let told =
+        r.other.iter().filter(|o| matches!(o, Output::Mode { line, .. } if line.contains("is full"))).count();
+    assert_eq!(told, 2);
+}
--- /dev/null
+++ b/crates/wire/tests/codecs.rs
@@ -0,0 +1,258 @@
+//! Values come back as they went, however the bytes are cut; no bytes panic, or make a reader keep more than it may.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tackmast_wire::iscsi::{self, Digests, Pdu, Units};
+use tackmast_wire::list::{self, Entry, State};
+use tackmast_wire::node::{self, Answer, Frame, NodeOutcome, Origin, SendLeg, Work};
+use tackmast_wire::scsi::{Command, Sense};
+
+const MOST: usize = 4096;
+
+fn data() -> impl Strategy<Value = Bytes> {
+    proptest::collection::vec(any::<u8>(), 0..MOST).prop_map(Bytes::from)
+}
+
+fn leg() -> impl Strategy<Value = Frame> {
+    let work = prop_oneof![
+        any::<u32>().prop_map(|length| Work::Read { length }),
+        data().prop_map(|data| Work::Write { data })
+    ];
+    let origin = (any::<u32>(), any::<u32>(), any::<u16>()).prop_map(|(session, command, part)| Origin {
+        session,
+        command,
+        part,
+    });
+    let first = (any::<u64>(), any::<u64>(), any::<u8>(), origin, any::<u64>(), any::<u32>());
+    let second = (any::<u128>(), any::<u64>(), any::<u32>(), any::<u64>(), 0f32..1e9, work);
+    (first, second).prop_map(
+        |((leg, xfer, leg_no, origin, sent_us, left_us), (mark, key, volume, offset, units, work))| {
+            Frame::Send(SendLeg {
+                leg,
+                xfer,
+                leg_no,
+                origin,
+                sent_us,
+                left_us,
+                mark,
+                key,
+                volume,
+                offset,
+                units,
+                work,
+            })
+        },
+    )
+}
+
+fn node_frame() -> impl Strategy<Value = Frame> {
+    let outcome = prop_oneof![
+        Just(NodeOutcome::Done),
+        Just(NodeOutcome::Error),
+        Just(NodeOutcome::Full),
+        Just(NodeOutcome::NotHere)
+    ];
+    let answer = (any::<u64>(), outcome, any::<u32>(), 0f32..1e9, data());
+    prop_oneof![
+        leg(),
+        answer.prop_map(|(leg, outcome, waiting, elsewhere, data)| {
+            Frame::Answer(Answer { leg, outcome, waiting, elsewhere, data })
+        }),
+        (any::<u16>(), any::<u32>(), any::<u64>(), any::<u64>())
+            .prop_map(|(version, host, life, sent_us)| Frame::HostHello { version, host, life, sent_us }),
+        (any::<u16>(), any::<u32>(), any::<u32>(), any::<u64>(), any::<u64>()).prop_map(
+            |(version, shard, zone, started_us, up_us)| {
+                Frame::NodeHello { version, shard, zone, started_us, up_us }
+            }
+        ),
+        any::<u64>().prop_map(|leg| Frame::Cancel { leg }),
+        any::<u64>().prop_map(|number| Frame::Ping { number }),
+        any::<u64>().prop_map(|number| Frame::Pong { number }),
+    ]
+}
+
+fn list_frame() -> impl Strategy<Value = list::Frame> {
+    let state = prop_oneof![Just(State::Ready), Just(State::Draining), Just(State::Gone)];
+    let entry = ("[ -~]{0,255}", state, any::<u32>(), any::<u32>(), any::<u64>()).prop_map(
+        |(address, state, zone, shard, started_us)| Entry { address, state, zone, shard, started_us },
+    );
+    let entries = proptest::collection::vec(entry, 0..20);
+    prop_oneof![
+        (any::<u16>(), any::<u32>(), any::<u64>()).prop_map(|(version, host, since)| list::Frame::Follow {
+            version,
+            host,
+            since
+        }),
+        (any::<u16>(), any::<u32>()).prop_map(|(version, host)| list::Frame::Fetch { version, host }),
+        (any::<u64>(), any::<u64>(), entries.clone()).prop_map(|(from, to, entries)| list::Frame::Changes {
+            from,
+            to,
+            entries
+        }),
+        (any::<u64>(), entries).prop_map(|(to, entries)| list::Frame::Complete { to, entries }),
+        Just(list::Frame::Failed),
+    ]
+}
+
+fn pdu() -> impl Strategy<Value = Pdu> {
+    (any::<[u8; 48]>(), data()).prop_map(|(mut head, data)| {
+        head[4] = 0;
+        head[5..8].copy_from_slice(&(data.len() as u32).to_be_bytes()[1..]);
+        Pdu { head, data }
+    })
+}
+
+/// Feeds the bytes in pieces of these sizes, in turn.
+fn in_pieces(bytes: &[u8], cuts: &[usize], mut feed: impl FnMut(&[u8])) {
+    let mut rest = bytes;
+    let mut sizes = cuts.iter().cycle();
+    while !rest.is_empty() {
+        let n = sizes.next().copied().unwrap_or(1).clamp(1, rest.len());
+        feed(&rest[..n]);
+        rest = &rest[n..];
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn node_frames_come_back(sent in proptest::collection::vec(node_frame(), 1..5), cuts in proptest::collection::vec(1usize..300, 1..8)) {
+        let mut bytes = BytesMut::new();
+        sent.iter().for_each(|f| f.encode(&mut bytes));
+        let mut frames = node::frames(MOST);
+        let mut found = Vec::new();
+        in_pieces(&bytes, &cuts, |piece| {
+            frames.push(piece);
+            while let Some(f) = node::next(&mut frames).unwrap() {
+                found.push(f);
+            }
+        });
+        prop_assert_eq!(found, sent);
+        prop_assert_eq!(frames.partial(), 0);
+    }
+
+    #[test]
+    fn list_frames_come_back(sent in proptest::collection::vec(list_frame(), 1..5), cuts in proptest::collection::vec(1usize..300, 1..8)) {
+        let bytes: Vec<u8> = sent.iter().flat_map(|f| f.to_bytes().to_vec()).collect();
+        let mut frames = list::frames();
+        let mut found = Vec::new();
+        in_pieces(&bytes, &cuts, |piece| {
+            frames.push(piece);
+            while let Some(f) = list::next(&mut frames).unwrap() {
+                found.push(f);
+            }
+        });
+        prop_assert_eq!(found, sent);
+    }
+
+    #[test]
+    fn units_come_back(sent in proptest::collection::vec(pdu(), 1..5), header in any::<bool>(), data in any::<bool>(), cuts in proptest::collection::vec(1usize..300, 1..8)) {
+        let digests = Digests { header, data };
+        let mut bytes = BytesMut::new();
+        sent.iter().for_each(|p| iscsi::encode(p, digests, &mut bytes));
+        let mut units = Units::new(MOST);
+        units.digests = digests;
+        let mut found = Vec::new();
+        in_pieces(&bytes, &cuts, |piece| {
+            units.push(piece);
+            while let Some(p) = units.next_unit().unwrap() {
+                found.push(p);
+            }
+        });
+        prop_assert_eq!(found, sent);
+    }
+
+    #[test]
+    fn a_flipped_bit_is_seen_by_the_digests(sent in pdu(), at in any::<prop::sample::Index>(), bit in 0u8..8) {
+        prop_assume!(!sent.data.is_empty());
+        let digests = Digests { header: true, data: true };
+        let mut bytes = BytesMut::new();
+        iscsi::encode(&sent, digests, &mut bytes);
+        let i = at.index(bytes.len());
+        // The lengths say where digests stand, so a flip there may leave the unit waiting for more; that is no
+        // false unit either.
+        bytes[i] ^= 1 << bit;
+        let mut units = Units::new(MOST);
+        units.digests = digests;
+        units.push(&bytes);
+        if let Ok(Some(found)) = units.next_unit() {
+            prop_assert!(false, "a damaged unit passed: {found:?}");
+        }
+    }
+
+    #[test]
+    fn no_bytes_panic_or_fill_the_memory(bytes in proptest::collection::vec(any::<u8>(), 0..2000)) {
+        let all = Bytes::from(bytes.clone());
+        _ = Frame::decode(all.clone());
+        _ = list::Frame::decode(all.clone());
+        _ = iscsi::read_keys(&all);
+        _ = Sense::from_segment(&all);
+        let mut frames = node::frames(MOST);
+        frames.push(&bytes);
+        while let Ok(Some(_)) = node::next(&mut frames) {}
+        let mut units = Units::new(MOST);
+        units.push(&bytes);
+        while let Ok(Some(u)) = units.next_unit() {
+            prop_assert!(u.data.len() <= MOST);
+        }
+        if let Some(cdb) = bytes.first_chunk::<16>() {
+            _ = Command::parse(cdb);
+        }
+    }
+
+    #[test]
+    fn commands_come_back(block in any::<u64>(), blocks in any::<u32>(), most in any::<u16>(), page in any::<Option<u8>>()) {
+        let most = u32::from(most);
+        for c in [
+            Command::Read { block, blocks },
+            Command::Write { block, blocks },
+            Command::Inquiry { page, most },
+            Command::ReportLuns { most },
+            Command::ReadCapacity10,
+            Command::ReadCapacity16 { most },
+            Command::ModeSense { long: true, most },
+            Command::ModeSense { long: false, most: most & 0xff },
+            Command::RequestSense { most: most & 0xff },
+            Command::TestUnitReady,
+            Command::Synchronize,
+        ] {
+            prop_assert_eq!(Command::parse(&c.to_cdb()), Ok(c));
+        }
+    }
+}
+
+#[test]
+fn what_a_peer_may_not_send_is_named() {
+    let encoded = Frame::Ping { number: 1 }.to_bytes();
+    let long = [&[0xff, 0xff, 0xff, 0xff], &encoded[4..]].concat();
+    let bad_kind = [&[0, 0, 0, 1], &[9u8][..]].concat();
+    let trailing = [&[0, 0, 0, 10], &encoded[4..], &[0][..]].concat();
+    let short = [&[0, 0, 0, 5], &encoded[4..9]].concat();
+    for (name, bytes, expected) in [
+        ("over-long", long, "frame length: 4294967295 bytes; at most 4224 are taken"),
+        ("unknown kind", bad_kind, "kind: 9; expected a frame kind from 1 to 7"),
+        ("bytes behind", trailing, "frame: 1; expected no bytes after the last field"),
+        ("ends early", short, "ping: the frame ends 4 bytes early"),
+    ] {
+        let mut frames = node::frames(MOST);
+        frames.push(&bytes);
+        let found = node::next(&mut frames).unwrap_err().to_string();
+        let expected = expected.replace("ping", "number");
+        assert_eq!(found, expected, "{name}");
+    }
+}
+
+#[test]
+fn digests_are_those_of_the_specification() {
+    // RFC 7143, appendix A.4: 32 bytes of zeroes, of ones, and counting up.
+    let counting: Vec<u8> = (0..32).collect();
+    for (bytes, sum) in [
+        (vec![0; 32], [0xaa, 0x36, 0x91, 0x8a]),
+        (vec![0xff; 32], [0x43, 0xab, 0xa8, 0x62]),
+        (counting, [0x4e, 0x79, 0xdd, 0x46]),
+    ] {
+        assert_eq!(crc32c::crc32c(&bytes).to_le_bytes(), sum);
+    }
+}
