tackmast measure: what the host adds against the same clients straight at the nodes

Cause: nothing told what the host costs. Change: closed loops of reads through a host and straight at stand-in nodes that do no work, in one run, with CPU a transfer, memory and threads; the host core and the module alone without I/O. The checker counts a node's end as the end of its links, and excuses commands sent to a dead host.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod day;
 mod log;
+mod measure;
 mod serve;
 mod stand;
 
@@ -58,6 +59,8 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures what the host adds, against the same clients straight at the stand-in nodes, in one run.
+    Measure(measure::MeasureArguments),
     /// Looks at settings without running anything.
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -81,6 +84,7 @@
         Command::NodeList { listen } => stand::node_list(listen),
         Command::Day(a) => day::day(&a),
         Command::Rules { trace, json } => day::rules(&trace, json),
+        Command::Measure(a) => measure::measure(&a),
         Command::Config(ConfigCommand::Check { file }) => serve::check(&file),
     };
     match outcome {
--- a/crates/day/src/traffic.rs
+++ b/crates/day/src/traffic.rs
@@ -113,6 +113,7 @@
     }
 }
 
+type Channel<T> = (Sender<T>, Receiver<T>);
 type Seats = Vec<RwLock<Option<Initiator>>>;
 
 pub struct Flow {
@@ -130,8 +131,8 @@
     over: AtomicBool,
     closed: AtomicBool,
     recorder: Recorder,
-    replies: (Sender<(u64, Reply)>, Receiver<(u64, Reply)>),
-    again: (Sender<Again>, Receiver<Again>),
+    replies: Channel<(u64, Reply)>,
+    again: Channel<Again>,
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
--- /dev/null
+++ b/crates/measure/src/core_cost.rs
@@ -0,0 +1,129 @@
+//! What a transfer costs in the host core, and in the decision module alone, on one thread without any I/O.
+
+use bytes::Bytes;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Instant as Wall;
+use tackmast::interface::*;
+use tackmast::policy::Scheduler;
+use tackmast_config::HostSettings;
+use tackmast_hostcore::{CommandRef, Core, LegBack, ListEntry, Output, Work};
+
+#[derive(Clone, Debug, Serialize)]
+pub struct CoreCost {
+    pub transfers: u64,
+    pub core_us: f64,
+    pub module_us: f64,
+}
+
+const NODES: u32 = 4;
+const OPEN: usize = 64; // transfers at a time
+
+fn seconds(i: u64) -> Instant {
+    Instant::from_secs(100.0 + i as f64 * 1e-5)
+}
+
+/// Transfers that are sent and answered at once, `OPEN` at a time, for so many in all.
+pub fn core_cost(transfers: u64) -> Result<CoreCost, String> {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    let text = crate::settings(NODES as usize, nowhere, nowhere);
+    let settings = HostSettings::parse("measure", &text).map_err(|e| e.to_string())?;
+    Ok(CoreCost { transfers, core_us: core(&settings, transfers), module_us: module(&settings, transfers) })
+}
+
+fn core(settings: &HostSettings, transfers: u64) -> f64 {
+    let mut core = Core::new(seconds(0), settings, 1, 1);
+    let node = |n: u32| ListEntry {
+        address: format!("127.0.0.1:{}", 1000 + n),
+        state: NodeState::Ready,
+        zone: ZoneId(0),
+        shard: ShardId(n),
+        up_since: None,
+    };
+    let list: Vec<ListEntry> = (0..NODES).map(node).collect();
+    core.list_came(seconds(0), ListKind::Complete, 0, 1, &list);
+    let started = Wall::now();
+    let (mut sent, mut done) = (0u64, 0u64);
+    let mut legs = Vec::new();
+    let mut open = 0;
+    while done < transfers {
+        let now = seconds(done);
+        while open < OPEN && sent < transfers {
+            let from = CommandRef { session: 1, command: sent as u32 };
+            core.submit(now, from, 0, sent * 8 % 1_000_000, Work::Read { blocks: 8 }, now, None, None);
+            sent += 1;
+            open += 1;
+        }
+        core.tick(now);
+        let before = done;
+        while let Some(o) = core.next_output(now) {
+            match o {
+                Output::Send(leg) => {
+                    leg.ticket.claim();
+                    leg.ticket.written();
+                    legs.push(leg.leg);
+                }
+                Output::Answer { .. } => {
+                    done += 1;
+                    open -= 1;
+                }
+                _ => {}
+            }
+        }
+        let later = seconds(done + 1);
+        for leg in legs.drain(..) {
+            let data = Bytes::from_static(&[0; 4096]);
+            let back = LegBack { leg, outcome: Outcome::Done, waiting: Some(0), elsewhere: Some(0.0), data };
+            core.leg_back(later, back);
+        }
+        // What neither is sent nor answered at this moment needs time to pass.
+        if done == before && open == OPEN {
+            core.tick(later);
+        }
+    }
+    started.elapsed().as_secs_f64() * 1e6 / transfers as f64
+}
+
+fn module(settings: &HostSettings, transfers: u64) -> f64 {
+    let mut s = Scheduler::new(seconds(0), 1, 1, Span::from_secs(0.002), settings.units.mean);
+    for st in &settings.streams {
+        s.stream(st.slo, st.effect, st.in_order);
+    }
+    for p in &settings.plans {
+        s.plan(p.limit, p.burst, p.slack, p.reserve, p.weight);
+    }
+    let node = |n: u32| NodeEntry {
+        node: NodeId(n),
+        state: NodeState::Ready,
+        zone: ZoneId(0),
+        shard: ShardId(n),
+        up_since: None,
+    };
+    let list: Vec<NodeEntry> = (0..NODES).map(node).collect();
+    s.nodes_changed(seconds(0), ListKind::Complete, &list);
+    let started = Wall::now();
+    let (mut sent, mut done) = (0u64, 0u64);
+    let mut out = Vec::new();
+    while done < transfers {
+        let now = seconds(done);
+        while sent - done < OPEN as u64 && sent < transfers {
+            let (id, shard) = (XferId(sent as u32), ShardId((sent % u64::from(NODES)) as u32));
+            let key = Some(KeyId(sent as u32 % 100_000));
+            let left = Span::from_secs(5.0);
+            s.transfer_arrived(now, id, StreamId(0), PlanId(0), key, left, VolumeId(0), 1.0, Some(shard), 1);
+            sent += 1;
+        }
+        while let Some(d) = s.next_decision(now) {
+            if let Decision::Send { xfer, .. } = d {
+                out.push(xfer);
+            }
+        }
+        let later = seconds(done + 1);
+        for id in out.drain(..) {
+            s.service_reported(later, id, true, true, 0.0);
+            s.leg_ended(later, id, LegNo(0), Outcome::Done, later - now, true);
+            done += 1;
+        }
+    }
+    started.elapsed().as_secs_f64() * 1e6 / transfers as f64
+}
--- a/crates/rulecheck/src/index.rs
+++ b/crates/rulecheck/src/index.rs
@@ -109,6 +109,7 @@
         let mut by_name: HashMap<CommandName, Vec<usize>> = HashMap::new();
         let mut legs_of: HashMap<(String, LegName), usize> = HashMap::new();
         let mut last = 0;
+        let mut down: HashMap<u32, u64> = HashMap::new();
         for (i, line) in lines.iter().enumerate() {
             let t = line.t;
             if t < last {
@@ -116,7 +117,11 @@
             }
             last = t;
             match &line.event {
-                Event::Facts(_) | Event::Trouble { .. } | Event::NodeDown { .. } | Event::Cancel { .. } => {}
+                Event::Facts(_) | Event::Trouble { .. } | Event::Cancel { .. } => {}
+                Event::NodeDown { node } => {
+                    let open = |l: &&mut Leg| l.node == *node && l.end.is_none();
+                    x.legs.iter_mut().filter(open).for_each(|l| l.link_down = l.link_down.or(Some(t)));
+                }
                 Event::Truncated => x.unfit = Some("events were lost when it was recorded".into()),
                 Event::Submit { host, session, command, stream, expiry_us, .. } => {
                     let name = (*host, *session, *command);
@@ -128,7 +133,8 @@
                         expiry_us: *expiry_us,
                         answers: Vec::new(),
                         left: None,
-                        host_down: None,
+                        // A client may not know yet that its host is gone; no host has taken this one.
+                        host_down: down.get(host).copied(),
                     });
                 }
                 Event::Answer { host, session, command, kind, .. } => {
@@ -144,11 +150,13 @@
                     }
                 }
                 Event::HostDown { host } => {
+                    down.insert(*host, t);
                     for c in x.commands.iter_mut().filter(|c| c.name.0 == *host && c.answers.is_empty()) {
                         c.host_down = c.host_down.or(Some(t));
                     }
                 }
                 Event::HostUp { host } => {
+                    down.remove(host);
                     x.host_ups.push((t, *host));
                     // A new life knows nothing of what the old one was told.
                     for (_, told) in x.told.iter_mut().filter(|((h, _), _)| h == host) {
--- a/crates/rulecheck/tests/doctored.rs
+++ b/crates/rulecheck/tests/doctored.rs
@@ -139,6 +139,10 @@
             s.submit(100, 1, 0).leg(101, "a", 1, 0).at(150, Event::Left { host: 0, session: 1, command: 1 });
         }),
         ("its host died", 0, |s| _ = s.submit(100, 1, 0).at(150, Event::HostDown { host: 0 })),
+        ("its host was dead before", 0, |s| _ = s.at(50, Event::HostDown { host: 0 }).submit(100, 1, 0)),
+        ("its host was back", 1, |s| {
+            s.at(50, Event::HostDown { host: 0 }).at(60, Event::HostUp { host: 0 }).submit(100, 1, 0);
+        }),
         ("two legs at once", 2, |s| {
             s.submit(100, 1, 0).leg(101, "a", 1, 0).leg(150, "a", 1, 1);
             s.end(200, "a", 1, 1, LegEndKind::Done).answer(201, 1, Done);
@@ -228,6 +232,11 @@
             s.at(200, Event::LinkDown { node: "a".into(), host: 0, life: 77, legs: vec![name(1, 0)] });
             s.leg_of(600, "a", 2, 0, 2, 1, 9).end(610, "a", 2, 0, LegEndKind::Done).answer(611, 2, Done);
         }),
+        ("no rest after its node died", 5, |s| {
+            s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 1, 0, 2, 1, 9).answer(201, 1, Abandoned);
+            s.at(200, Event::NodeDown { node: "a".into() });
+            s.leg_of(600, "a", 2, 0, 2, 1, 9).end(610, "a", 2, 0, LegEndKind::Done).answer(611, 2, Done);
+        }),
         ("overtaken", 5, |s| {
             s.submit(100, 1, 1).submit(100, 2, 1).leg_of(101, "a", 2, 0, 2, 1, 9);
             s.end(110, "a", 2, 0, LegEndKind::Done).answer(111, 2, Done);
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -266,6 +266,11 @@
     }
 
     fn run(&mut self, now: Us, work: f64, task: Task) {
+        // A node whose work costs nothing ends it at once: it serves to measure what lies before it.
+        if let (true, Task::Job(id, well)) = (work <= 0.0, task) {
+            self.ended.push((id, if well { How::Done } else { How::Error }));
+            return;
+        }
         self.number += 1;
         let end = now.max(self.still_until) + us(work / self.pace(now)).max(1);
         self.running.insert((end, self.number), task);
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -214,17 +214,33 @@
 }
 
 /// Keeps what many threads saw.
-#[derive(Clone, Default)]
-pub struct Recorder(Arc<Mutex<Vec<Line>>>);
+#[derive(Clone)]
+pub struct Recorder(Option<Arc<Mutex<Vec<Line>>>>);
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Recorder(Some(Arc::default()))
+    }
+}
 
 impl Recorder {
+    /// One that keeps nothing, for measurements.
+    pub fn off() -> Recorder {
+        Recorder(None)
+    }
+
+    pub fn is_on(&self) -> bool {
+        self.0.is_some()
+    }
+
     pub fn note(&self, event: Event) {
         self.note_at(now_us(), event);
     }
 
     /// Notes what is known to have been at an earlier time.
     pub fn note_at(&self, t: u64, event: Event) {
-        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(kept) = &self.0 else { return };
+        let mut lines = kept.lock().unwrap_or_else(PoisonError::into_inner);
         match lines.len() {
             n if n < MOST => lines.push(Line { t, event }),
             MOST => lines.push(Line { t, event: Event::Truncated }),
@@ -234,7 +250,8 @@
 
     /// All lines so far, by time.
     pub fn take(&self) -> Vec<Line> {
-        let mut lines = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        let Some(kept) = &self.0 else { return Vec::new() };
+        let mut lines = std::mem::take(&mut *kept.lock().unwrap_or_else(PoisonError::into_inner));
         lines.sort_by_key(|l| l.t);
         lines
     }
