--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -71,3 +71,10 @@
     }
     Ok(ExitCode::from(u8::from(!report.is_clean())))
 }
+
+pub fn import(file: &Path, seed: u64) -> Result<ExitCode, String> {
+    let at = |e: String| format!("{}: {e}", file.display());
+    let text = std::fs::read_to_string(file).map_err(|e| at(e.to_string()))?;
+    print!("{}", tackmast_day::import(&text, seed).map_err(at)?);
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -52,6 +52,13 @@
     /// Prints the seed, service by plan and stream type, and each of the seven rules with what was checked. Exits
     /// with 0 only if every rule held, every byte read was right, and the script's own expectations were met.
     Day(day::DayArguments),
+    /// Writes a day of the bench as a script for loopback, on standard output.
+    DayImport {
+        /// A day file of the bench, as JSON.
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Judges the seven rules from a recorded trace alone; exits with 1 if one is broken.
     Rules {
         trace: PathBuf,
@@ -83,6 +90,7 @@
         Command::Node(a) => stand::node(&a),
         Command::NodeList { listen } => stand::node_list(listen),
         Command::Day(a) => day::day(&a),
+        Command::DayImport { file, seed } => day::import(&file, seed),
         Command::Rules { trace, json } => day::rules(&trace, json),
         Command::Measure(a) => measure::measure(&a),
         Command::Config(ConfigCommand::Check { file }) => serve::check(&file),
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -2,12 +2,14 @@
 //! the clock; records what the sockets show, holds the rules against it, and checks every byte that is read.
 
 mod fleet;
+mod import;
 mod play;
 mod registers;
 mod report;
 mod script;
 mod traffic;
 
+pub use import::import;
 pub use play::{play, Played};
 pub use report::{Report, Served};
 pub use script::{Action, Script, TrafficBlock, Trouble};
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -154,6 +154,10 @@
     #[serde(default)]
     pub digests: bool,
     pub expiry_ms: Option<u32>,
+    /// Surges of its own: times the rate, how long, and how often in the mean, in seconds.
+    pub surges: Option<(f64, f64, f64)>,
+    /// How often the lead passes to another host, in the mean, in seconds.
+    pub moves_s: Option<f64>,
     /// Part of commands that are aborted a little later, and after which the session goes without a word.
     #[serde(default)]
     pub aborts: f64,
--- a/crates/day/src/traffic.rs
+++ b/crates/day/src/traffic.rs
@@ -285,9 +285,25 @@
         let until = self.block.for_s.map_or(start + day.as_micros() as u64, |s| from + (s * 1e6) as u64);
         let mut next = from;
         let mut retries: BinaryHeap<Again> = BinaryHeap::new();
+        let mut surge: Option<u64> = None; // when it ends
+        let mut surge_at = self.block.surges.map_or(u64::MAX, |(_, _, every)| from + self.gap(every));
+        let mut move_at = self.block.moves_s.map_or(u64::MAX, |every| from + self.gap(every));
         while !self.over.load(Ordering::Acquire) {
             retries.extend(self.again.1.try_iter());
             let now = now_us();
+            if surge.is_some_and(|end| end <= now) {
+                surge = None;
+            }
+            if surge_at <= now {
+                if let Some((_, length, every)) = self.block.surges {
+                    surge = Some(now + (length * 1e6) as u64);
+                    surge_at = now + self.gap(every);
+                }
+            }
+            if move_at <= now {
+                self.move_lead();
+                move_at = now + self.gap(self.block.moves_s.unwrap_or(f64::MAX));
+            }
             while let Some(r) = retries.pop() {
                 if r.at > now {
                     retries.push(r);
@@ -297,9 +313,9 @@
             }
             while next <= now && next < until {
                 self.send(self.draw(next));
-                let rate = self.block.rate * self.times_milli.load(Ordering::Relaxed) as f64 / 1000.0;
-                let gap = -(1.0 - lock(&self.state).chance.rand_float()).ln() / rate.max(0.001);
-                next += (gap * 1e6) as u64;
+                let own = self.block.surges.filter(|_| surge.is_some()).map_or(1.0, |(times, _, _)| times);
+                let rate = self.block.rate * own * self.times_milli.load(Ordering::Relaxed) as f64 / 1000.0;
+                next += self.gap(1.0 / rate.max(0.001));
             }
             let wake = retries.peek().map_or(next, |r| r.at.min(next));
             let wait = wake.saturating_sub(now_us()).clamp(100, 2_000);
@@ -307,6 +323,12 @@
         }
     }
 
+    /// A time between two events that come by chance, so many seconds apart in the mean.
+    fn gap(&self, mean_s: f64) -> u64 {
+        let gap = -(1.0 - lock(&self.state).chance.rand_float()).ln() * mean_s;
+        (gap.min(1e6) * 1e6) as u64
+    }
+
     fn draw(&self, at: u64) -> Again {
         let mut s = lock(&self.state);
         let (least, most) = self.block.blocks;
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -234,8 +234,11 @@
                 };
                 let bytes = frame.to_bytes();
                 let failed = frame == Frame::Failed;
+                // A host may act on the bytes before the call returns. So word that frees it counts from before
+                // the bytes leave, and word that binds it from after.
+                self.note(host, &entries, false, |s| s == State::Ready);
                 stream.write_all(&bytes)?;
-                self.note(host, &entries, complete);
+                self.note(host, &entries, complete, |s| s != State::Ready);
                 if failed {
                     return Ok(());
                 }
@@ -244,7 +247,7 @@
         Ok(())
     }
 
-    fn note(&self, host: u32, entries: &[Entry], complete: bool) {
+    fn note(&self, host: u32, entries: &[Entry], complete: bool, which: fn(State) -> bool) {
         let mut known = lock(&self.known);
         let told = known.told.entry(host).or_default();
         let line = |e: &Entry, state| {
@@ -254,9 +257,9 @@
         if complete {
             let gone = told.values().filter(|old| !entries.iter().any(|e| e.address == old.address));
             gone.for_each(|e| line(e, ListedState::Gone));
-            told.clear();
+            told.retain(|a, _| entries.iter().any(|e| e.address == *a));
         }
-        for e in entries {
+        for e in entries.iter().filter(|e| which(e.state)) {
             line(
                 e,
                 match e.state {
