--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod day;
 mod log;
 mod measure;
+mod orders;
 mod serve;
 mod stand;
 
@@ -47,6 +48,14 @@
         #[arg(long, default_value = "127.0.0.1:0")]
         listen: std::net::SocketAddr,
     },
+    /// Orders of operators that end by themselves: a weight, out of service, pinned in service.
+    #[command(subcommand)]
+    Override(orders::OverrideCommand),
+    /// Shows what hosts are doing, and what each node is given.
+    Status {
+        #[command(flatten)]
+        hosts: orders::Hosts,
+    },
     /// Plays a scripted day on loopback: hosts, stand-ins, traffic and troubles.
     ///
     /// Prints the seed, service by plan and stream type, and each of the seven rules with what was checked. Exits
@@ -89,6 +98,8 @@
         Command::Serve { config } => serve::serve(&config),
         Command::Node(a) => stand::node(&a),
         Command::NodeList { listen } => stand::node_list(listen),
+        Command::Override(c) => orders::run(c),
+        Command::Status { hosts } => orders::status(&hosts),
         Command::Day(a) => day::day(&a),
         Command::DayImport { file, seed } => day::import(&file, seed),
         Command::Rules { trace, json } => day::rules(&trace, json),
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -98,6 +98,28 @@
     }
 }
 
+/// `overrides { ... }`: operators' orders. Without the block the host takes none.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OverridesBlock {
+    /// File that keeps them, and the socket by which operators reach the host.
+    pub store: std::path::PathBuf,
+    pub admin: std::path::PathBuf,
+    /// Overrides that may stand at a time.
+    #[serde(default = "ten_thousand")]
+    pub most: usize,
+    /// Part of a zone's nodes that may be out of service without force.
+    #[serde(default = "half")]
+    pub zone_part: f64,
+}
+
+fn ten_thousand() -> usize {
+    20_000
+}
+fn half() -> f64 {
+    0.5
+}
+
 /// `units { ... }`: how a transfer's size counts.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -271,13 +293,24 @@
     pub load: Load,
     pub further_legs: Option<FurtherLegs>,
     pub cold: Option<ColdNodes>,
+    pub overrides: Option<OverridesBlock>,
     pub streams: Vec<Stream>,
     pub plans: Vec<Plan>,
     pub volumes: Vec<Volume>,
 }
 
-const BLOCKS: [&str; 9] =
-    ["host", "bounds", "units", "load", "further_legs", "cold_nodes", "stream", "plan", "volume"];
+const BLOCKS: [&str; 10] = [
+    "host",
+    "bounds",
+    "units",
+    "load",
+    "further_legs",
+    "cold_nodes",
+    "overrides",
+    "stream",
+    "plan",
+    "volume",
+];
 /// Longest span that a setting may name: a day.
 const DAY_S: f64 = 86_400.0;
 
@@ -303,6 +336,8 @@
         let further_legs: Option<FurtherLegs> = doc.blocks("further_legs", false)?.pop().map(|f| f.value);
         let cold: Option<ColdNodes> = doc.blocks("cold_nodes", false)?.pop().map(|f| f.value);
 
+        let overrides: Option<OverridesBlock> = doc.blocks("overrides", false)?.pop().map(|f| f.value);
+
         let within = |kind: &str, label: &str, name: &str, value: f64, low: f64, high: f64| match value {
             v if v.is_finite() && v >= low && v <= high => Ok(v),
             v => Err(doc.wrong(&Place { kind, label, name }, v, &format!("a number from {low} to {high}"))),
@@ -350,6 +385,10 @@
         within("load", "", "longest_wait_s", load.longest_wait_s, 0.0, DAY_S)?;
         within("load", "", "settle_s", load.settle_s, 0.0, DAY_S)?;
         within("load", "", "drain_grace_ms", load.drain_grace_ms, 1.0, DAY_S * 1e3)?;
+        if let Some(o) = &overrides {
+            whole("overrides", "most", o.most as u64, 1, 1_000_000)?;
+            within("overrides", "", "zone_part", o.zone_part, 0.0, 1.0)?;
+        }
         if let Some(f) = &further_legs {
             within("further_legs", "", "free", f.free, 0.0, 1e9)?;
             within("further_legs", "", "share", f.share, 0.0, 1e3)?;
@@ -503,6 +542,6 @@
                 ));
             }
         }
-        Ok(HostSettings { host, bounds, units, load, further_legs, cold, streams, plans, volumes })
+        Ok(HostSettings { host, bounds, units, load, further_legs, cold, overrides, streams, plans, volumes })
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,4 +5,6 @@
 mod host;
 
 pub use document::{ConfigError, Document};
-pub use host::{Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, Plan, Stream, Units, Volume};
+pub use host::{
+    Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, OverridesBlock, Plan, Stream, Units, Volume,
+};
--- a/crates/day/src/traffic.rs
+++ b/crates/day/src/traffic.rs
@@ -397,7 +397,9 @@
                 let mut s = lock(&self.state);
                 s.tallies[a.stream].shut += 1;
                 s.tries.remove(&label);
-                s.registers.wrote(now, block, blocks, version, Some(false));
+                if a.write {
+                    s.registers.wrote(now, block, blocks, version, Some(false));
+                }
             }
             Some(command) if abort => {
                 session.abort(command);
--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -25,6 +25,11 @@
         Instant::from_secs(self.start.elapsed().as_secs_f64())
     }
 
+    /// What the wall clock shows now, in microseconds of Unix time.
+    pub fn wall_us() -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+    }
+
     /// Microseconds of Unix time.
     pub fn unix_us(&self, at: Instant) -> u64 {
         let us = self.start_unix.as_micros() as i64 + (at.secs() * 1e6).round() as i64;
--- a/crates/host/src/core_thread.rs
+++ b/crates/host/src/core_thread.rs
@@ -1,6 +1,7 @@
 //! The one thread that owns the host core. It takes events, carries the core's outputs out, and never waits for
 //! a peer: what can't be handed on at once comes back to the core as what it is.
 
+use crate::admin::ToStore;
 use crate::links::Links;
 use crate::list::ToList;
 use crate::sessions::ToSession;
@@ -12,8 +13,9 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tackmast::interface::{Instant, ListKind, NodeId, NodeState, Outcome, Span};
+use tackmast_admin::Answer;
 use tackmast_config::HostSettings;
-use tackmast_hostcore::{CommandRef, Core, Counters, LegBack, ListEntry, Output, Work};
+use tackmast_hostcore::{Ask, CommandRef, Core, Counters, LegBack, ListEntry, Output, Work};
 
 /// Events taken before the outputs they caused are carried out.
 const BATCH: usize = 256;
@@ -53,6 +55,15 @@
         entries: Vec<ListEntry>,
     },
     Status(Sender<Status>),
+    Admin {
+        ask: Ask,
+        to: Sender<Answer>,
+    },
+    /// What became of a write.
+    Kept {
+        request: u64,
+        result: Result<(), String>,
+    },
     Stop,
 }
 
@@ -75,11 +86,17 @@
     clock: Clock,
     links: Links,
     list: Sender<ToList>,
+    store: Option<Sender<ToStore>>,
+    /// Who waits for an answer to which ask.
+    asks: HashMap<u64, Sender<Answer>>,
+    next_ask: u64,
+    wall_at: std::time::Instant,
     sessions: HashMap<u32, (Sender<ToSession>, Arc<std::net::TcpStream>)>,
     last: Instant,
     busy: Duration,
 }
 
+#[allow(clippy::too_many_arguments)] // what the thread owns, one by one
 pub fn start(
     core: Core,
     settings: Arc<HostSettings>,
@@ -88,6 +105,7 @@
     events: Receiver<Event>,
     links: Links,
     list: Sender<ToList>,
+    store: Option<Sender<ToStore>>,
 ) -> Result<JoinHandle<()>, StartError> {
     let mut l = Loop {
         core,
@@ -95,6 +113,10 @@
         clock,
         links,
         list,
+        store,
+        asks: HashMap::new(),
+        next_ask: 0,
+        wall_at: std::time::Instant::now(),
         sessions: HashMap::new(),
         last: clock.now(),
         busy: Duration::ZERO,
@@ -108,7 +130,7 @@
         self.saved();
         self.outputs();
         loop {
-            let wait = self.core.next_wake().map_or(IDLE, |t| self.clock.until(t)).min(IDLE);
+            let wait = self.core.next_wake(self.clock.now()).map_or(IDLE, |t| self.clock.until(t)).min(IDLE);
             let first = crossbeam_channel::select! {
                 recv(urgent) -> e => e.ok(),
                 recv(events) -> e => e.ok(),
@@ -134,6 +156,10 @@
                     Err(TryRecvError::Disconnected) => return,
                 }
             }
+            if self.wall_at.elapsed() >= IDLE {
+                self.wall_at = std::time::Instant::now();
+                self.core.wall_seen(self.last, Clock::wall_us());
+            }
             self.core.tick(self.last);
             self.outputs();
             self.busy += started.elapsed();
@@ -198,6 +224,12 @@
                 };
                 _ = to.try_send(status);
             }
+            Event::Admin { ask, to } => {
+                self.next_ask += 1;
+                self.asks.insert(self.next_ask, to);
+                self.core.ask(now, self.next_ask, ask);
+            }
+            Event::Kept { request, result } => self.core.kept(now, request, result),
             Event::Stop => {
                 for (_, close) in self.sessions.values() {
                     _ = close.shutdown(std::net::Shutdown::Both);
@@ -236,6 +268,19 @@
                 }
                 Output::FollowList { since } => _ = self.list.try_send(ToList::Follow { since }),
                 Output::FetchList => _ = self.list.try_send(ToList::Fetch),
+                Output::Keep { request, keep } => {
+                    let sent =
+                        self.store.as_ref().map(|s| s.try_send(ToStore::Keep { request, keep }).is_ok());
+                    if sent != Some(true) {
+                        let why = "the store takes no more writes".to_owned();
+                        self.core.kept(now, request, Err(why));
+                    }
+                }
+                Output::Reply { request, reply } => {
+                    if let Some(to) = self.asks.remove(&request) {
+                        _ = to.try_send(Answer::Reply(Box::new(reply)));
+                    }
+                }
                 Output::Mode { node, line } => {
                     let node = node.and_then(|n| self.core.nodes().address(n)).unwrap_or("-");
                     tracing::info!(host = self.settings.host.number, node, "{line}");
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,6 +2,7 @@
 //! the clock. It holds no rule. Threads have small stacks, channels have bounds, and the core's thread never
 //! waits for a peer.
 
+mod admin;
 mod clock;
 mod core_thread;
 mod links;
@@ -17,8 +18,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use tackmast_config::HostSettings;
-use tackmast_hostcore::Core;
+use tackmast_config::{HostSettings, OverridesBlock};
+use tackmast_hostcore::{Core, Keep};
+use tackmast_keep::Store;
+use tackmast_overrides::Overrides;
 
 /// Stack of the threads that only move bytes.
 const SMALL_STACK: usize = 128 << 10;
@@ -29,6 +32,10 @@
 pub enum StartError {
     #[error("host listen {address}: {error}; expected a free address of this machine")]
     Listen { address: SocketAddr, error: io::Error },
+    #[error("admin socket {0}")]
+    Admin(String),
+    #[error(transparent)]
+    Store(#[from] tackmast_keep::KeepError),
     #[error("thread {name}: {error}; expected to start it")]
     Thread { name: String, error: io::Error },
 }
@@ -49,6 +56,32 @@
     built.map_err(|error| StartError::Thread { name, error })
 }
 
+/// Opens the store, hands what it held to the core, and lets operators in.
+fn overrides(
+    o: &OverridesBlock,
+    core: &mut Core,
+    clock: Clock,
+    urgent: &Sender<core_thread::Event>,
+    stopping: &Arc<AtomicBool>,
+) -> Result<Sender<admin::ToStore>, StartError> {
+    let (store, held) = Store::open(&o.store)?;
+    let (now, wall_us) = (clock.now(), Clock::wall_us());
+    let settings = tackmast_overrides::Settings { most: o.most, zone_part: o.zone_part };
+    let (overrides, ended) = Overrides::new(now, wall_us, settings, held.overrides, held.next);
+    core.wall_seen(now, wall_us);
+    let mut keep = Keep::default();
+    for e in ended {
+        tracing::info!("override {} ended while the host was down: {}", e.record.id.0, e.audit.what);
+        keep.remove.push(e.record.id);
+        keep.audits.push(e.audit);
+    }
+    core.with_overrides(now, overrides, keep);
+    let (to_store, from) = crossbeam_channel::bounded(EVENTS);
+    admin::keep(store, from, urgent.clone())?;
+    admin::start(&o.admin, urgent.clone(), to_store.clone(), stopping.clone())?;
+    Ok(to_store)
+}
+
 impl Host {
     /// Starts listening; clients are served as soon as this returns.
     pub fn start(settings: HostSettings) -> Result<Host, StartError> {
@@ -58,7 +91,7 @@
         let address = listener.local_addr().map_err(|error| StartError::Listen { address, error })?;
         let life = clock.unix_us(clock.now()) << 12 | u64::from(settings.host.number & 0xfff);
         let seed = settings.host.seed.unwrap_or(life ^ u64::from(std::process::id()) << 32);
-        let core = Core::new(clock.now(), &settings, seed, life);
+        let mut core = Core::new(clock.now(), &settings, seed, life);
         let settings = Arc::new(settings);
         let stopping = Arc::new(AtomicBool::new(false));
         let (urgent, urgent_in) = crossbeam_channel::bounded(EVENTS);
@@ -66,8 +99,21 @@
         let units = sessions::units(&settings, core.layout());
         let mut threads = Vec::new();
         let list = list::start(settings.clone(), clock, urgent.clone(), stopping.clone())?;
+        let to_store = match &settings.overrides {
+            Some(o) => Some(overrides(o, &mut core, clock, &urgent, &stopping)?),
+            None => None,
+        };
         let links = links::Links::new(settings.clone(), clock, events.clone(), life);
-        threads.push(core_thread::start(core, settings.clone(), clock, urgent_in, events_in, links, list)?);
+        threads.push(core_thread::start(
+            core,
+            settings.clone(),
+            clock,
+            urgent_in,
+            events_in,
+            links,
+            list,
+            to_store,
+        )?);
         threads.push(sessions::start(listener, settings, units, clock, events, stopping.clone())?);
         tracing::info!(%address, life, "host listens");
         Ok(Host { address, stopping, urgent, threads })
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -4,12 +4,14 @@
 use crate::combine::{combine, Combined, PartEnd};
 use crate::layout::{key_id, Layout, Part};
 use crate::nodes::{ListEntry, Nodes};
+use crate::orders::{Ask, Keep, Next, Orders, OrdersStatus, Reply};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use tackmast::interface::*;
 use tackmast::policy::Scheduler;
 use tackmast_config::{HostSettings, Stream};
+use tackmast_overrides::{Effective, NodeFacts, Overrides};
 
 /// A list's time of a start and the node's own word differ by the way of a message; less is no news.
 const START_NEWS: f64 = 0.5; // seconds
@@ -95,6 +97,15 @@
     },
     /// Ask for the complete list: a change is missing.
     FetchList,
+    /// To be written durably, all or nothing, and then told of by `kept` under this number; 0: no word is wanted.
+    Keep {
+        request: u64,
+        keep: Keep,
+    },
+    Reply {
+        request: u64,
+        reply: Reply,
+    },
     /// A change of mode, with its figures, and the node it is about.
     Mode {
         node: Option<NodeId>,
@@ -187,6 +198,9 @@
     grace: Span,
     cuts: BTreeSet<(Instant, NodeId)>, // when what is still being written to a node that drains is cut off
     list_version: u64,
+    orders: Option<Orders>,
+    number: u32,
+    wall_offset_us: i64,
     outputs: VecDeque<Output>,
     pub counters: Counters,
 }
@@ -230,6 +244,9 @@
             grace: Span::from_secs(s.load.drain_grace_ms / 1e3 * GRACE_PART),
             cuts: BTreeSet::new(),
             list_version: 0,
+            orders: None,
+            number: s.host.number,
+            wall_offset_us: 0,
             outputs: VecDeque::new(),
             counters: Counters::default(),
         }
@@ -409,15 +426,51 @@
         if kind != ListKind::Changes {
             self.nodes.only(&known);
         }
+        let facts: Vec<NodeFacts> = self.nodes.entries().filter_map(facts).collect();
+        if let Some(orders) = &mut self.orders {
+            orders.overrides.nodes_listed(now, facts);
+        }
+        for e in &mut known {
+            self.given(now, e);
+        }
         self.scheduler.nodes_changed(now, kind, &known);
-        let stopped: Vec<NodeId> = self
-            .nodes
-            .entries()
-            .filter(|(_, e)| e.state != NodeState::Ready)
-            .map(|(_, e)| e.node)
-            .filter(|n| self.at_node.contains_key(n))
-            .collect();
-        // What still waits on a link to a node that drains must not reach it after the grace.
+        self.order_nodes(now);
+        self.stop_nodes(now);
+    }
+
+    /// Makes a line of the list what the operators' orders make of it.
+    fn given(&self, now: Instant, e: &mut NodeEntry) {
+        let address = self.nodes.address(e.node).and_then(|a| a.parse().ok());
+        let effective = self.orders.as_ref().zip(address).and_then(|(o, a)| o.overrides.effective(now, &a));
+        if let Some(Effective { state, .. }) = effective {
+            e.state = state;
+        }
+    }
+
+    /// Tells the module of nodes that are to be given something else than before.
+    fn order_nodes(&mut self, now: Instant) {
+        let Some(orders) = &mut self.orders else { return };
+        let mut stops = false;
+        for (address, given) in orders.overrides.take_changed(now) {
+            let Some(node) = self.nodes.number(&address.to_string()) else { continue };
+            let Some(entry) = self.nodes.entry(node) else { continue };
+            self.scheduler.nodes_changed(
+                now,
+                ListKind::Changes,
+                &[NodeEntry { state: given.state, ..entry }],
+            );
+            self.scheduler.node_ordered(now, node, given.weight, given.pinned);
+            stops |= given.state != NodeState::Ready;
+        }
+        if stops {
+            self.stop_nodes(now);
+        }
+    }
+
+    /// What still waits on a link to a node that drains, or is out of service, must not reach it after the grace.
+    fn stop_nodes(&mut self, now: Instant) {
+        let used = self.at_node.keys().copied();
+        let stopped: Vec<NodeId> = used.filter(|n| self.is_stopped(now, *n)).collect();
         for node in stopped {
             self.withdraw_at(now, node);
             if !self.cuts.iter().any(|(_, n)| *n == node) {
@@ -426,6 +479,118 @@
         }
     }
 
+    fn is_stopped(&self, now: Instant, node: NodeId) -> bool {
+        let entry = self.nodes.entry(node);
+        entry.is_some_and(|mut e| {
+            self.given(now, &mut e);
+            e.state != NodeState::Ready
+        })
+    }
+
+    /// Takes operators' overrides in. `keep` is what has become of those of an earlier life.
+    pub fn with_overrides(&mut self, now: Instant, overrides: Overrides, keep: Keep) {
+        self.orders = Some(Orders::new(now, overrides));
+        if keep != Keep::default() {
+            self.outputs.push_back(Output::Keep { request: 0, keep });
+        }
+    }
+
+    /// What the wall clock shows, now and then: audits carry it, and its steps move no end.
+    pub fn wall_seen(&mut self, now: Instant, wall_us: u64) {
+        self.wall_offset_us = wall_us as i64 - (now.secs() * 1e6).round() as i64;
+        let step = self.orders.as_mut().and_then(|o| o.overrides.wall_seen(now, wall_us));
+        if let Some((put, audit)) = step {
+            self.mode(audit.what.clone());
+            let keep = Keep { put, remove: Vec::new(), audits: vec![audit] };
+            self.outputs.push_back(Output::Keep { request: 0, keep });
+        }
+    }
+
+    fn wall_us(&self, now: Instant) -> u64 {
+        ((now.secs() * 1e6).round() as i64 + self.wall_offset_us).max(0) as u64
+    }
+
+    fn mode(&mut self, line: String) {
+        self.outputs.push_back(Output::Mode { node: None, line });
+    }
+
+    /// An operator's ask, under a number of the caller's that is not 0.
+    pub fn ask(&mut self, now: Instant, request: u64, ask: Ask) {
+        let wall_us = self.wall_us(now);
+        let Some(orders) = &mut self.orders else {
+            let why = "this host has no overrides block in its settings".to_owned();
+            return self.outputs.push_back(Output::Reply { request, reply: Reply::NotKept { why } });
+        };
+        match orders.ask(now, wall_us, request, ask) {
+            None => {}
+            Some(Next::Keep(request, keep)) => self.outputs.push_back(Output::Keep { request, keep }),
+            Some(Next::Reply(request, Reply::Status(_))) => {
+                let reply = Reply::Status(Box::new(self.status(now)));
+                self.outputs.push_back(Output::Reply { request, reply });
+            }
+            Some(Next::Reply(request, reply)) => self.outputs.push_back(Output::Reply { request, reply }),
+        }
+    }
+
+    /// The store's word on a `Keep`.
+    pub fn kept(&mut self, now: Instant, request: u64, result: Result<(), String>) {
+        let told = self.orders.as_mut().and_then(|o| o.kept(now, request, result));
+        if let Some((reply, line)) = told {
+            self.mode(line);
+            self.order_nodes(now);
+            self.outputs.push_back(Output::Reply { request, reply });
+        }
+        if let Some((request, ask)) = self.orders.as_mut().and_then(Orders::next_waiting) {
+            self.ask(now, request, ask);
+        }
+    }
+
+    fn status(&self, now: Instant) -> OrdersStatus {
+        let c = &self.counters;
+        let orders = self.orders.as_ref();
+        let word = |s: NodeState| format!("{s:?}").to_lowercase();
+        let node = |(address, e): (&str, &NodeEntry)| {
+            let mut given = *e;
+            self.given(now, &mut given);
+            Some((address.parse().ok()?, word(e.state), word(given.state)))
+        };
+        OrdersStatus {
+            host: self.number,
+            overrides: orders.map_or(0, |o| o.overrides.len()),
+            version: orders.map_or(0, |o| o.overrides.version()),
+            returning: orders.map_or(0, |o| o.overrides.returning().0),
+            commands: self.commands.len(),
+            legs: self.until.len(),
+            taken: c.taken,
+            done: c.done,
+            deferred: c.deferred,
+            abandoned: c.abandoned,
+            nodes: self.nodes.entries().filter_map(node).collect(),
+        }
+    }
+
+    /// Ends of overrides, and steps of nodes on their way back.
+    fn tick_orders(&mut self, now: Instant) {
+        let wall_us = self.wall_us(now);
+        let Some(orders) = self.orders.as_mut().filter(|o| o.next(now).is_some_and(|t| t <= now)) else {
+            return;
+        };
+        let ended = orders.overrides.tick(now, wall_us);
+        let mut lines = orders.tell(now);
+        let mut keep = Keep::default();
+        for e in ended {
+            let o = &e.record;
+            lines.push(format!("override {} ended: {} {}, set by {}", o.id.0, o.target, o.kind, o.who));
+            keep.remove.push(o.id);
+            keep.audits.push(e.audit);
+        }
+        lines.into_iter().for_each(|l| self.mode(l));
+        if keep != Keep::default() {
+            self.outputs.push_back(Output::Keep { request: 0, keep });
+        }
+        self.order_nodes(now);
+    }
+
     fn withdraw_at(&mut self, now: Instant, node: NodeId) {
         for (id, no) in self.at_node.get(&node).cloned().unwrap_or_default() {
             let ticket =
@@ -439,16 +604,18 @@
 
     /// A node said at the start of a link how long it has been up. Later than the list knows: it restarted.
     pub fn node_said_up(&mut self, now: Instant, node: NodeId, up: Span) {
-        if let Some(entry) = self.nodes.started(node, now - up, START_NEWS) {
+        if let Some(mut entry) = self.nodes.started(node, now - up, START_NEWS) {
+            self.given(now, &mut entry);
             self.scheduler.nodes_changed(now, ListKind::Changes, &[entry]);
         }
     }
 
     /// Time has passed: legs whose time is up end.
     pub fn tick(&mut self, now: Instant) {
+        self.tick_orders(now);
         while let Some((_, node)) = self.cuts.first().copied().filter(|(t, _)| *t <= now) {
             self.cuts.pop_first();
-            let stopped = self.nodes.state(node).is_some_and(|s| s != NodeState::Ready);
+            let stopped = self.is_stopped(now, node);
             for (id, no) in self.at_node.get(&node).cloned().unwrap_or_default() {
                 let leg = self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no));
                 if stopped && leg.is_some_and(|o| o.ticket.is_stuck()) {
@@ -495,10 +662,11 @@
     }
 
     /// When to come back if nothing else happens before.
-    pub fn next_wake(&self) -> Option<Instant> {
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let leg = self.until.first().map(|(t, _, _)| *t);
         let cut = self.cuts.first().map(|(t, _)| *t);
-        [leg, cut, self.scheduler.next_wake()].into_iter().flatten().min()
+        let ends = self.orders.as_ref().and_then(|o| o.next(now));
+        [leg, cut, ends, self.scheduler.next_wake()].into_iter().flatten().min()
     }
 
     fn carry_out(&mut self, now: Instant, decision: Decision) {
@@ -701,6 +869,10 @@
     }
 }
 
+fn facts((address, e): (&str, &NodeEntry)) -> Option<NodeFacts> {
+    Some(NodeFacts { address: address.parse().ok()?, zone: e.zone.0, shard: e.shard.0, listed: e.state })
+}
+
 fn joined(parts: &[(XferId, Option<PartEnd>, Bytes)], bytes: usize) -> Bytes {
     if let [(_, _, only)] = parts {
         return only.clone();
--- a/crates/hostcore/src/lib.rs
+++ b/crates/hostcore/src/lib.rs
@@ -8,10 +8,12 @@
 mod core;
 mod layout;
 mod nodes;
+mod orders;
 mod ticket;
 
 pub use crate::core::{CommandRef, Core, Counters, LegBack, LegId, LegWork, Output, SendLeg, Verdict, Work};
 pub use combine::{combine, Combined, PartEnd};
 pub use layout::{Layout, Part};
 pub use nodes::ListEntry;
+pub use orders::{Ask, Keep, Orders, OrdersStatus, Reply};
 pub use ticket::Ticket;
--- a/crates/hostcore/src/nodes.rs
+++ b/crates/hostcore/src/nodes.rs
@@ -78,8 +78,9 @@
         self.known.get(node.0 as usize).map(|k| k.address.as_str())
     }
 
-    pub fn state(&self, node: NodeId) -> Option<NodeState> {
-        self.known.get(node.0 as usize).map(|k| k.entry.state)
+    /// As the list has it.
+    pub fn entry(&self, node: NodeId) -> Option<NodeEntry> {
+        self.known.get(node.0 as usize).map(|k| k.entry)
     }
 
     pub fn number(&self, address: &str) -> Option<NodeId> {
--- a/crates/hostcore/tests/core.rs
+++ b/crates/hostcore/tests/core.rs
@@ -93,7 +93,7 @@
     /// Lets time pass, stopping whenever the core wants to be woken.
     fn pass(&mut self, secs: f64) {
         let until = self.now + s(secs);
-        while let Some(t) = self.core.next_wake().filter(|t| *t <= until) {
+        while let Some(t) = self.core.next_wake(self.now).filter(|t| *t <= until) {
             self.now = t.max(self.now + Span::from_secs(1e-6));
             self.pull();
         }
--- /dev/null
+++ b/crates/keep/src/lib.rs
@@ -0,0 +1,156 @@
+//! Overrides and their audit trail in an embedded store (redb). A write is one transaction, synced before it is
+//! told of; what was told of is there after any crash, and nothing half-done is.
+
+use redb::{Database, ReadableTable, ReadableTableMetadata, TableDefinition};
+use std::path::{Path, PathBuf};
+use tackmast_hostcore::Keep;
+use tackmast_overrides::{Audit, Override};
+
+/// Raised when what is written changes its form.
+pub const FORMAT: u64 = 1;
+/// Audit lines kept; the oldest go first.
+const AUDITS: u64 = 100_000;
+
+const META: TableDefinition<&str, u64> = TableDefinition::new("tackmast");
+const OVERRIDES: TableDefinition<u64, &[u8]> = TableDefinition::new("overrides");
+const AUDIT: TableDefinition<u64, &[u8]> = TableDefinition::new("audit");
+
+#[derive(Debug, thiserror::Error)]
+pub enum KeepError {
+    #[error("store {path}: {problem}; expected a tackmast store of format {FORMAT}. {way_on}")]
+    Unusable { path: PathBuf, problem: String, way_on: &'static str },
+    #[error("store {path}: {problem}")]
+    Write { path: PathBuf, problem: String },
+}
+
+const MOVE_AWAY: &str =
+    "Nothing was changed. To start without what it holds, move the file away; overrides then have to be set anew";
+
+/// The open store of one host.
+pub struct Store {
+    db: Database,
+    path: PathBuf,
+}
+
+/// What the store held when it was opened.
+#[derive(Debug, Default, PartialEq)]
+pub struct Held {
+    pub overrides: Vec<Override>,
+    /// Lowest number that no override ever had.
+    pub next: u64,
+}
+
+impl Store {
+    /// Opens the store, or makes a new one where there is no file.
+    pub fn open(path: &Path) -> Result<(Store, Held), KeepError> {
+        let unusable =
+            |problem: String| KeepError::Unusable { path: path.into(), problem, way_on: MOVE_AWAY };
+        let is_new = match std::fs::metadata(path) {
+            Ok(m) => m.len() == 0,
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => true,
+            Err(e) => return Err(unusable(e.to_string())),
+        };
+        // The library trusts a file's own lengths; a damaged one may make it panic, which is no way to say so.
+        let opened = std::panic::catch_unwind(|| match is_new {
+            true => Database::create(path).map_err(|e| e.to_string()),
+            false => Database::open(path).map_err(|e| e.to_string()),
+        });
+        let db = opened.map_err(|_| unusable("damaged".into()))?.map_err(&unusable)?;
+        let store = Store { db, path: path.into() };
+        if is_new {
+            store.prepare().map_err(|e| unusable(e.to_string()))?;
+        }
+        let held = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| store.held()));
+        let held = held.map_err(|_| unusable("damaged".into()))?.map_err(unusable)?;
+        Ok((store, held))
+    }
+
+    fn prepare(&self) -> Result<(), Box<dyn std::error::Error>> {
+        let w = self.db.begin_write()?;
+        {
+            let mut meta = w.open_table(META)?;
+            meta.insert("format", FORMAT)?;
+            meta.insert("next override", 1)?;
+            w.open_table(OVERRIDES)?;
+            w.open_table(AUDIT)?;
+        }
+        w.commit()?;
+        Ok(())
+    }
+
+    fn held(&self) -> Result<Held, String> {
+        let r = self.db.begin_read().map_err(|e| e.to_string())?;
+        let meta = r.open_table(META).map_err(|_| "another program's file".to_owned())?;
+        let number =
+            |key: &str| Ok::<_, String>(meta.get(key).map_err(|e| e.to_string())?.map(|v| v.value()));
+        match number("format")? {
+            Some(FORMAT) => {}
+            Some(other) => return Err(format!("format {other}")),
+            None => return Err("no format".into()),
+        }
+        let table = r.open_table(OVERRIDES).map_err(|e| e.to_string())?;
+        let mut overrides = Vec::new();
+        for row in table.iter().map_err(|e| e.to_string())? {
+            let (key, value) = row.map_err(|e| e.to_string())?;
+            let o: Override = serde_json::from_slice(value.value())
+                .map_err(|e| format!("override {}: {e}", key.value()))?;
+            overrides.push(o);
+        }
+        Ok(Held { overrides, next: number("next override")?.unwrap_or(1) })
+    }
+
+    /// Writes all of it or nothing; it is on the disk when this returns.
+    pub fn keep(&self, k: &Keep) -> Result<(), KeepError> {
+        self.try_keep(k).map_err(|problem| KeepError::Write { path: self.path.clone(), problem })
+    }
+
+    fn try_keep(&self, k: &Keep) -> Result<(), String> {
+        let w = self.db.begin_write().map_err(|e| e.to_string())?;
+        let write = || -> Result<(), Box<dyn std::error::Error>> {
+            let mut overrides = w.open_table(OVERRIDES)?;
+            let mut meta = w.open_table(META)?;
+            let mut next = meta.get("next override")?.map_or(1, |v| v.value());
+            for o in &k.put {
+                let bytes = serde_json::to_vec(o).unwrap_or_default();
+                overrides.insert(o.id.0, bytes.as_slice())?;
+                next = next.max(o.id.0 + 1);
+            }
+            meta.insert("next override", next)?;
+            for id in &k.remove {
+                overrides.remove(id.0)?;
+            }
+            let mut audit = w.open_table(AUDIT)?;
+            let first = audit.last()?.map_or(0, |(n, _)| n.value() + 1);
+            for (line, a) in (first..).zip(&k.audits) {
+                let bytes = serde_json::to_vec(a).unwrap_or_default();
+                audit.insert(line, bytes.as_slice())?;
+            }
+            let over = audit.len()?.saturating_sub(AUDITS);
+            for _ in 0..over {
+                audit.pop_first()?;
+            }
+            Ok(())
+        };
+        write().map_err(|e| e.to_string())?;
+        w.commit().map_err(|e| e.to_string())
+    }
+
+    /// The last lines of the audit trail, oldest first.
+    pub fn audit(&self, most: usize) -> Result<Vec<Audit>, KeepError> {
+        let read = || -> Result<Vec<Audit>, String> {
+            let r = self.db.begin_read().map_err(|e| e.to_string())?;
+            let table = r.open_table(AUDIT).map_err(|e| e.to_string())?;
+            let mut lines = Vec::new();
+            for row in table.iter().map_err(|e| e.to_string())?.rev().take(most) {
+                let (key, value) = row.map_err(|e| e.to_string())?;
+                lines.push(
+                    serde_json::from_slice(value.value())
+                        .map_err(|e| format!("line {}: {e}", key.value()))?,
+                );
+            }
+            lines.reverse();
+            Ok(lines)
+        };
+        read().map_err(|problem| KeepError::Write { path: self.path.clone(), problem })
+    }
+}
--- /dev/null
+++ b/crates/keep/tests/store.rs
@@ -0,0 +1,114 @@
+//! The store: what was kept is there after anything, and a file that can't be used says so.
+
+use std::fs;
+use std::panic;
+use tackmast_hostcore::Keep;
+use tackmast_keep::{KeepError, Store};
+use tackmast_overrides::*;
+
+fn record(id: u64) -> Override {
+    Override {
+        id: OverrideId(id),
+        target: format!("10.0.0.{id}:9000").parse().unwrap(),
+        kind: Kind::OutOfService,
+        reason: "it smokes".into(),
+        who: "ann".into(),
+        set_us: 1,
+        ends_us: 2,
+    }
+}
+
+fn put(id: u64) -> Keep {
+    Keep { put: vec![record(id)], remove: vec![], audits: vec![Audit::set(&record(id), false)] }
+}
+
+#[test]
+fn what_was_kept_is_there_after_it_is_opened_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("o.redb");
+    let (store, held) = Store::open(&path).unwrap();
+    assert_eq!((held.overrides.len(), held.next), (0, 1));
+    (1..=5).for_each(|id| store.keep(&put(id)).unwrap());
+    let gone = Keep {
+        put: vec![],
+        remove: vec![OverrideId(5), OverrideId(2)],
+        audits: vec![Audit::cleared(9, &record(2), "bob")],
+    };
+    store.keep(&gone).unwrap();
+    drop(store);
+    let (store, held) = Store::open(&path).unwrap();
+    let ids: Vec<u64> = held.overrides.iter().map(|o| o.id.0).collect();
+    assert_eq!((ids, held.next), (vec![1, 3, 4], 6), "a number is never given twice");
+    let audit = store.audit(2).unwrap();
+    assert_eq!(
+        (audit[0].kind, audit[1].kind, audit[1].who.as_str()),
+        (AuditKind::Set, AuditKind::Cleared, "bob")
+    );
+    assert_eq!(store.audit(100).unwrap().len(), 6);
+}
+
+#[test]
+fn a_store_that_is_in_use_damaged_or_foreign_says_so_and_is_left_alone() {
+    let dir = tempfile::tempdir().unwrap();
+    let good = dir.path().join("good.redb");
+    let (store, _) = Store::open(&good).unwrap();
+    store.keep(&put(1)).unwrap();
+    assert!(matches!(Store::open(&good), Err(KeepError::Unusable { .. })), "one host at a time");
+    drop(store);
+    let whole = fs::read(&good).unwrap();
+    let foreign = dir.path().join("foreign.redb");
+    {
+        let db = redb::Database::create(&foreign).unwrap();
+        let w = db.begin_write().unwrap();
+        w.open_table(redb::TableDefinition::<u64, u64>::new("other")).unwrap();
+        w.commit().unwrap();
+    }
+    let later = dir.path().join("later.redb");
+    fs::write(&later, &whole).unwrap();
+    {
+        let db = redb::Database::open(&later).unwrap();
+        let w = db.begin_write().unwrap();
+        w.open_table(redb::TableDefinition::<&str, u64>::new("tackmast"))
+            .unwrap()
+            .insert("format", 2)
+            .unwrap();
+        w.commit().unwrap();
+    }
+    let write = |name: &str, bytes: &[u8]| {
+        let path = dir.path().join(name);
+        fs::write(&path, bytes).unwrap();
+        path
+    };
+    let mut holes = whole.clone();
+    holes[..512].fill(0xaa);
+    let cases = [
+        ("text", write("text", b"overrides: none\n"), ""),
+        ("cut", write("cut", &whole[..whole.len() / 2]), ""),
+        ("a damaged head", write("holes", &holes), ""),
+        ("another program's", foreign, "another program's file"),
+        ("a later format", later, "format 2"),
+    ];
+    let quiet = panic::take_hook();
+    panic::set_hook(Box::new(|_| {}));
+    for (name, path, problem) in cases {
+        let before = fs::read(&path).unwrap();
+        let Err(e) = Store::open(&path) else { panic!("{name}: opened") };
+        let text = e.to_string();
+        assert!(
+            text.contains(problem) && text.contains("expected a tackmast store of format 1"),
+            "{name}: {text}"
+        );
+        assert!(text.contains("move the file away"), "{name}: a way on");
+        let same = fs::read(&path).unwrap().len() == before.len();
+        assert!(same, "{name}: left as long as it was");
+    }
+    panic::set_hook(quiet);
+}
+
+#[test]
+fn a_folder_that_takes_no_file_says_so() {
+    let dir = tempfile::tempdir().unwrap();
+    let missing = dir.path().join("no/such/folder/o.redb");
+    assert!(Store::open(&missing).is_err());
+    assert!(Store::open(dir.path()).is_err(), "a folder is no store");
+}
--- /dev/null
+++ b/crates/overrides/tests/engine.rs
@@ -0,0 +1,294 @@
+//! The overrides as a whole, in virtual time.
+
+use std::net::SocketAddr;
+use tackmast::interface::{Instant, NodeState};
+use tackmast_overrides::*;
+
+const WALL: u64 = 1_800_000_000_000_000;
+const SETTINGS: Settings = Settings { most: 20_000, zone_part: 0.5 };
+
+fn at(s: f64) -> Instant {
+    Instant::from_secs(s)
+}
+
+fn wall(s: f64) -> u64 {
+    (WALL as i64 + (s * 1e6) as i64) as u64
+}
+
+fn address(i: u32) -> SocketAddr {
+    SocketAddr::from(([10, 0, (i / 8) as u8, (i % 8) as u8], 9000))
+}
+
+/// Nodes 0 to `n`: zones of eight, two to a shard.
+fn facts(n: u32) -> Vec<NodeFacts> {
+    let one = |i| NodeFacts { address: address(i), zone: i / 8, shard: i / 2, listed: NodeState::Ready };
+    (0..n).map(one).collect()
+}
+
+fn order(target: &str, kind: Kind, seconds: f64) -> Order {
+    let (reason, who) = ("it smokes".into(), "ann".into());
+    Order { target: target.parse().unwrap(), kind, reason, who, seconds }
+}
+
+fn new(n: u32) -> Overrides {
+    let (mut o, ended) = Overrides::new(at(0.0), WALL, SETTINGS, Vec::new(), 1);
+    assert!(ended.is_empty());
+    o.nodes_listed(at(0.0), facts(n));
+    o.take_changed(at(0.0));
+    o
+}
+
+fn set(o: &mut Overrides, now: f64, order: &Order) -> OverrideId {
+    let (record, _) = o.propose(wall(now), order, false, None).unwrap();
+    let id = record.id;
+    o.put(at(now), record);
+    id
+}
+
+fn given(o: &Overrides, now: f64, i: u32) -> (NodeState, f64, bool) {
+    let e = o.effective(at(now), &address(i)).unwrap();
+    (e.state, (e.weight * 100.0).round() / 100.0, e.pinned)
+}
+
+const READY: (NodeState, f64, bool) = (NodeState::Ready, 1.0, false);
+
+#[test]
+fn each_kind_reaches_its_nodes_and_ends_on_time() {
+    for (kind, during) in [
+        (Kind::OutOfService, (NodeState::Draining, 1.0, false)),
+        (Kind::Weight(0.25), (NodeState::Ready, 0.25, false)),
+        (Kind::Pinned, (NodeState::Ready, 1.0, true)),
+    ] {
+        let mut o = new(8);
+        set(&mut o, 1.0, &order("10.0.0.3:9000", kind, 10.0));
+        let changed: Vec<SocketAddr> = o.take_changed(at(1.0)).into_iter().map(|(a, _)| a).collect();
+        assert_eq!(changed, [address(3)], "{kind}");
+        assert_eq!((given(&o, 1.0, 3), given(&o, 1.0, 2)), (during, READY), "{kind}");
+        assert!(o.tick(at(10.98), wall(10.98)).is_empty(), "{kind}: not before its end");
+        assert_eq!(o.len(), 1);
+        let ended = o.tick(at(11.01), wall(11.01));
+        assert_eq!((ended.len(), o.len(), ended[0].audit.kind), (1, 0, AuditKind::Ended), "{kind}");
+        assert!(o.take_changed(at(11.01)).len() == 1 || kind == Kind::OutOfService);
+    }
+}
+
+#[test]
+fn the_list_beats_every_order() {
+    for (listed, pinned) in
+        [(NodeState::Draining, true), (NodeState::Gone, true), (NodeState::Draining, false)]
+    {
+        let mut o = new(8);
+        set(&mut o, 0.0, &order("10.0.0.3", if pinned { Kind::Pinned } else { Kind::Weight(0.5) }, 100.0));
+        o.nodes_listed(at(1.0), [NodeFacts { listed, ..facts(8)[3] }]);
+        assert_eq!(o.effective(at(1.0), &address(3)).unwrap().state, listed);
+    }
+}
+
+#[test]
+fn an_override_outlives_its_nodes_absence_and_its_host() {
+    let mut o = new(8);
+    let id = set(&mut o, 0.0, &order("10.0.0.3:9000", Kind::OutOfService, 100.0));
+    o.nodes_listed(at(1.0), [NodeFacts { listed: NodeState::Gone, ..facts(8)[3] }]);
+    assert_eq!(o.effective(at(1.0), &address(3)).unwrap().state, NodeState::Gone);
+    let record = o.get(id).unwrap().clone();
+    // The host is down for 20 s; the node returns meanwhile. Its steady clock starts anew.
+    let (mut o, ended) = Overrides::new(at(500.0), wall(20.0), SETTINGS, vec![record.clone()], 1);
+    assert!(ended.is_empty());
+    o.nodes_listed(at(500.0), facts(8));
+    assert_eq!(o.effective(at(500.0), &address(3)).unwrap().state, NodeState::Draining);
+    assert!(o.tick(at(579.9), wall(99.9)).is_empty());
+    assert_eq!(o.tick(at(580.1), wall(100.1)).len(), 1);
+    // Down past its end: told as ended, and not in force for a moment.
+    let (o, ended) = Overrides::new(at(0.0), wall(101.0), SETTINGS, vec![record.clone()], 1);
+    assert_eq!((o.len(), ended[0].audit.kind), (0, AuditKind::EndedAway));
+    // A wall clock set back while it was down does not lengthen it past its whole time.
+    let (mut o, _) = Overrides::new(at(0.0), wall(-3600.0), SETTINGS, vec![record], 1);
+    assert_eq!(o.tick(at(100.1), wall(-3500.0)).len(), 1);
+}
+
+#[test]
+fn a_step_of_the_wall_clock_moves_no_end_of_a_running_host() {
+    for step in [-3600.0, 3600.0, 86_400.0 * 400.0, 0.5] {
+        let mut o = new(8);
+        let id = set(&mut o, 0.0, &order("10.0.0.3:9000", Kind::OutOfService, 100.0));
+        let seen = o.wall_seen(at(10.0), wall(10.0 + step));
+        assert_eq!(seen.is_some(), step.abs() > 1.0, "{step}");
+        if let Some((records, audit)) = seen {
+            assert_eq!(audit.kind, AuditKind::ClockStepped);
+            assert_eq!(records[0].ends_us, wall(100.0 + step), "{step}: so that a restart agrees");
+        }
+        assert!(o.wall_seen(at(11.0), wall(11.0 + step)).is_none(), "{step}: told once");
+        assert!(o.tick(at(99.9), wall(99.9 + step)).is_empty());
+        assert_eq!(o.tick(at(100.1), wall(100.1 + step))[0].record.id, id, "{step}");
+    }
+}
+
+#[test]
+fn what_would_take_too_much_is_refused_unless_forced() {
+    type Before<'a> = &'a [(&'a str, Kind)];
+    let out = Kind::OutOfService;
+    let cases: &[(&str, Before, &str, Kind, Option<&str>)] = &[
+        ("one of a shard", &[], "10.0.0.2:9000", out, None),
+        (
+            "the last of a shard",
+            &[("10.0.0.2:9000", out)],
+            "10.0.0.3:9000",
+            out,
+            Some("shard 1 would have no node"),
+        ),
+        ("a whole shard", &[], "shard:1", out, Some("shard 1 would have no node")),
+        ("a narrower pin keeps it", &[("10.0.0.2:9000", Kind::Pinned)], "shard:1", out, None),
+        (
+            "too much of a zone",
+            &[("10.0.0.0:9000", out), ("10.0.0.2:9000", out), ("10.0.0.4:9000", out), ("10.0.0.6:9000", out)],
+            "10.0.0.6/31",
+            out,
+            Some("shard 3 would have no node"),
+        ),
+        ("a zone", &[], "zone:0", out, Some("shard 0 would have no node")),
+        ("a weight takes nothing out", &[], "zone:0", Kind::Weight(0.01), None),
+        ("nobody is there yet", &[], "192.168.0.0/16", out, None),
+    ];
+    for (name, before, target, kind, refused) in cases {
+        let mut o = new(16);
+        for (t, k) in *before {
+            set(&mut o, 0.0, &order(t, *k, 100.0));
+        }
+        let found = o.propose(WALL, &order(target, *kind, 100.0), false, None);
+        match (refused, found) {
+            (None, found) => assert!(found.is_ok(), "{name}: {found:?}"),
+            (Some(text), Err(e)) => {
+                assert!(e.to_string().contains(text), "{name}: {e}");
+                let (_, preview) = o.propose(WALL, &order(target, *kind, 100.0), true, None).unwrap();
+                assert_eq!(preview.forced_past, Some(e), "{name}: force says what it passes");
+            }
+            (Some(_), Ok(_)) => panic!("{name}: taken"),
+        }
+    }
+    // Nodes of their own shards: the zone alone is the bound.
+    let mut o = new(0);
+    o.nodes_listed(
+        at(0.0),
+        facts(8).into_iter().enumerate().map(|(i, f)| NodeFacts { shard: i as u32 / 4, ..f }),
+    );
+    for i in [0, 1, 4, 5] {
+        set(&mut o, 0.0, &order(&address(i).to_string(), out, 100.0));
+    }
+    let e = o.propose(WALL, &order("10.0.0.2:9000", out, 100.0), false, None).unwrap_err();
+    assert_eq!(e, Refusal::TooMuchOfZone { zone: 0, out: 5, of: 8, most_part: 0.5 });
+}
+
+#[test]
+fn orders_that_make_no_sense_name_the_value() {
+    let mut o = new(8);
+    for (kind, seconds, who, expected) in [
+        (Kind::Weight(0.0), 1.0, "ann", "weight: 0; expected above 0"),
+        (Kind::Weight(1.5), 1.0, "ann", "weight: 1.5; expected above 0"),
+        (Kind::Weight(f64::NAN), 1.0, "ann", "weight: NaN; expected above 0"),
+        (Kind::Pinned, 0.0, "ann", "seconds: 0; expected from 0.1"),
+        (Kind::Pinned, f64::INFINITY, "ann", "seconds: inf; expected from 0.1"),
+        (Kind::Pinned, 1e12, "ann", "seconds: 1000000000000; expected from 0.1"),
+        (Kind::Pinned, 1.0, " ", "who: \" \"; expected 1 to 200"),
+        (Kind::Pinned, 1.0, "a\nb", "who: \"a\\nb\"; expected 1 to 200"),
+    ] {
+        let order = Order { who: who.into(), ..order("zone:0", kind, seconds) };
+        let found = o.propose(WALL, &order, true, None).unwrap_err().to_string();
+        assert!(found.starts_with(expected), "{found}");
+    }
+}
+
+#[test]
+fn two_operators_at_once_are_both_heard_or_one_is_told() {
+    let mut o = new(8);
+    let version = o.version();
+    let (first, _) =
+        o.propose(WALL, &order("zone:0", Kind::Weight(0.5), 10.0), false, Some(version)).unwrap();
+    o.put(at(0.0), first);
+    // Who asked for the version that was seen is told what moved; who did not is later, and holds.
+    let second = order("zone:0", Kind::Weight(0.8), 5.0);
+    let Err(Refusal::Moved { changes, .. }) = o.propose(WALL, &second, false, Some(version)) else {
+        panic!()
+    };
+    assert_eq!(changes, ["ann set zone:0 weight 0.5"]);
+    set(&mut o, 0.0, &second);
+    assert_eq!(given(&o, 0.0, 1).1, 0.8);
+    // The later ends first: the earlier still stands and shows again.
+    o.tick(at(5.1), wall(5.1));
+    assert_eq!(given(&o, 5.1, 1).1, 0.5);
+    assert_eq!(o.explain(at(5.1), address(1)).weight_left_s.map(|s| s.round()), Some(5.0));
+}
+
+#[test]
+fn many_that_end_at_once_come_back_in_turn_and_slowly() {
+    let mut o = new(60);
+    let mut ids = Vec::new();
+    for i in (0..60).step_by(2) {
+        let (record, _) =
+            o.propose(WALL, &order(&address(i).to_string(), Kind::OutOfService, 10.0), true, None).unwrap();
+        ids.push(record.id);
+        o.put(at(0.0), record);
+    }
+    o.take_changed(at(0.0));
+    assert_eq!(o.tick(at(10.01), wall(10.01)).len(), 30);
+    assert!(o.is_empty(), "none is visible after its end");
+    let full = |o: &Overrides, t: f64| {
+        (0..60).step_by(2).map(|i| given(o, t, i)).filter(|g| g.0 == NodeState::Ready).count()
+    };
+    let share = |o: &Overrides, t: f64| {
+        (0..60)
+            .step_by(2)
+            .map(|i| given(o, t, i))
+            .filter(|g| g.0 == NodeState::Ready)
+            .map(|g| g.1)
+            .sum::<f64>()
+    };
+    let mut last = 0.0;
+    let mut now = 10.01;
+    while let Some(t) = o.next(at(now)) {
+        now = t.secs().max(now);
+        o.tick(at(now), wall(now));
+        o.take_changed(at(now));
+        let sum = share(&o, now);
+        assert!(sum >= last - 1e-9 && sum - last <= 3.5, "{now}: from {last} to {sum}");
+        last = sum;
+        now += 1e-6;
+    }
+    assert_eq!((full(&o, now), last, o.returning().0), (30, 30.0, 0));
+    assert!(now - 10.01 <= o.returning().1 + 0.1, "within the stated bound: {now}");
+    // Out again in the middle of it: held at once.
+    let mut o = new(8);
+    let id = set(&mut o, 0.0, &order("10.0.0.3:9000", Kind::OutOfService, 10.0));
+    o.clear(at(5.0), id, "bob").unwrap();
+    assert_eq!(given(&o, 5.0, 3), (NodeState::Ready, 0.1, false));
+    set(&mut o, 6.0, &order("10.0.0.3:9000", Kind::OutOfService, 10.0));
+    assert_eq!(given(&o, 6.0, 3).0, NodeState::Draining);
+    assert!(o.clear(at(6.0), id, "bob").is_err(), "cleared once");
+}
+
+#[test]
+fn ten_thousand_stand_over_sixty_nodes_and_explain_themselves() {
+    let mut o = new(60);
+    let mut chance = oorandom::Rand64::new(3);
+    for i in 0..10_000u32 {
+        let node = chance.rand_range(0..60) as u32;
+        let target = match i % 4 {
+            0 => address(node).to_string(),
+            1 => format!("{}/{}", address(node).ip(), chance.rand_range(8..33)),
+            2 => format!("shard:{}", node / 2),
+            _ => format!("zone:{}", node / 8),
+        };
+        let kind = if i % 3 == 0 { Kind::Pinned } else { Kind::Weight(0.1 + 0.8 * chance.rand_float()) };
+        let seconds = 1.0 + chance.rand_float() * 1000.0;
+        let (record, _) = o.propose(WALL, &order(&target, kind, seconds), false, None).unwrap();
+        o.put(at(0.0), record);
+    }
+    assert_eq!(o.len(), 10_000);
+    let e = o.explain(at(0.0), address(7));
+    assert!(e.service_by.is_some() && e.weight_by.is_some() && e.beaten.len() > 500, "{}", e.beaten.len());
+    let mut ended = 0;
+    for t in 1..=1002 {
+        ended += o.tick(at(f64::from(t)), wall(f64::from(t))).len();
+    }
+    assert_eq!((ended, o.len()), (10_000, 0));
+    assert_eq!(given(&o, 1002.0, 7), READY);
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -208,6 +208,16 @@
         self.nodes.entry(node).and_modify(|n| n.waiting = waiting);
     }
 
+    /// Operators' word on a node: the part of what it would be given otherwise, and whether it stays in service
+    /// whatever its health. Both are off at 1 and false. What the list says, the guards and the rules come first.
+    pub fn node_ordered(&mut self, now: Instant, node: NodeId, weight: f64, pinned: bool) {
+        self.now = now;
+        if let Some(n) = self.nodes.get_mut(&node) {
+            (n.weight, n.pinned) = (weight.clamp(0.01, 1.0), pinned);
+            self.due.insert(n.shard);
+        }
+    }
+
     pub fn leg_ended(&mut self, now: Instant, id: XferId, leg: LegNo, o: Outcome, took: Span, ended: bool) {
         self.now = now;
         let Some(x) = self.xfers.get_mut(&id) else { return };
@@ -367,10 +377,10 @@
         conforming: bool,
         mean_units: f64,
     ) -> Result<(), Option<Instant>> {
-        let cap = self.cap * if conforming { 1.0 } else { EXCESS_PART };
+        let cap = self.cap * self.weight * if conforming { 1.0 } else { EXCESS_PART };
         // What a node reports is common to all hosts; what each has out there is not, once they are many.
         let cap = cap / (self.waiting / if conforming { WAITING } else { WAITING_EXCESS }).max(1.0);
-        let cap = if self.sick { cap.min(1.0) } else { cap };
+        let cap = if self.held_sick() { cap.min(1.0) } else { cap };
         // Ranking holds within a host; where nodes are shared by many, looser streams rest longer at each.
         let cap = if cap < 1.0 { cap * tight } else { cap };
         let above: usize = self.out_rank[..rank].iter().sum();
@@ -384,6 +394,10 @@
         (free && rested <= now).then_some(()).ok_or(free.then_some(rested))
     }
 
+    fn held_sick(&self) -> bool {
+        self.sick && !self.pinned
+    }
+
     fn usual(&self, stream: StreamId) -> Span {
         Span::from_secs(self.latency[stream.0 as usize].at(0.5).unwrap_or(0.0).min(self.took))
     }
@@ -526,7 +540,7 @@
         }
         // A sick node (errors, silence, refusals alike) gets a trickle, which finds its recovery.
         let trickle = n.sent_at + Span::from_secs(TRICKLE);
-        if n.sick && trickle > now {
+        if n.held_sick() && trickle > now {
             return Err(trickle);
         }
         // Rule 6, and the house's credit: further legs must be earned by the node's answers.
@@ -704,7 +718,7 @@
     /// yet heard from counts like the mean of the others.
     fn rotate(&mut self) -> Option<ShardId> {
         let (now, mean_units) = (self.now, self.mean_units);
-        let able = |n: &Node| n.state == NodeState::Ready && !n.sick;
+        let able = |n: &Node| n.state == NodeState::Ready && !n.held_sick();
         let room = |n: &Node| able(n) && n.room(now, (0, 1.0), false, mean_units).is_ok();
         let any = self.nodes.values().any(room);
         let usual = mean(self.nodes.values().filter(|n| able(n)).filter_map(Node::mean_time));
@@ -712,7 +726,7 @@
         take_turn(able.map(|n| {
             let fresh = n.up_since.is_some_and(|u| now - u < self.cold.warm);
             let managed = if fresh { self.cold.from } else { 1.0 } * n.cap;
-            let weight = managed / n.mean_time().unwrap_or(usual).max(1e-3);
+            let weight = n.weight * managed / n.mean_time().unwrap_or(usual).max(1e-3);
             (n, weight)
         }))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -252,6 +252,8 @@
     pub cold: Bucket,
     pub latency: Vec<Histogram>,
     pub turn: f64,
+    pub weight: f64, // by operators' order, as is `pinned`
+    pub pinned: bool,
 }
 
 /// What waits at a shard waits by volume and stream type.
@@ -359,7 +361,8 @@
     pub fn restart(&mut self, new: Node) {
         let (out, done, out_units) = (self.out, self.done, self.out_units);
         let out_rank = std::mem::take(&mut self.out_rank);
-        *self = Node { out, done, out_units, out_rank, ..new };
+        let (weight, pinned) = (self.weight, self.pinned);
+        *self = Node { out, done, out_units, out_rank, weight, pinned, ..new };
     }
 
     pub fn new(
@@ -394,6 +397,8 @@
             cold: Bucket { level: cold, at: now },
             latency: seen,
             turn,
+            weight: 1.0,
+            pinned: false,
         }
     }
 }
