--- a/crates/cli/src/stand.rs
+++ b/crates/cli/src/stand.rs
@@ -64,6 +64,7 @@
         marks: Arc::new(Marks::default()),
         window_s: 5.0,
         cold: a.cold,
+        store: Arc::default(),
         receive_bytes: 0,
         recorder: Recorder::default(),
     })
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -38,6 +38,7 @@
     clients_that_leave_and_break_the_protocol = "bad-clients",
     order_with_time_outs_in_the_middle = "order",
     what_only_sockets_have = "sockets",
+    overrides_that_end_through_restarts_and_surges = "overrides",
 }
 
 #[test]
@@ -67,6 +68,6 @@
     );
     assert_eq!(
         config("hots {}").split(';').next_back(),
-        Some(" expected one of host, bounds, units, load, further_legs, cold_nodes, stream, plan, volume")
+        Some(" expected one of host, bounds, units, load, further_legs, cold_nodes, overrides, stream, plan, volume")
     );
 }
--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -6,11 +6,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tackmast::interface::{Effect, Group};
 use tackmast_standins::list::NodeList;
 use tackmast_standins::node::{Marks, Node, NodeSettings};
+use tackmast_standins::store::Store;
 use tackmast_trace::{Event, Recorder};
 use tackmast_wire::list::{Entry, State};
 
@@ -20,6 +21,7 @@
 pub struct HostProcess {
     pub number: u32,
     pub address: SocketAddr,
+    pub is_up: bool,
     child: Child,
     binary: PathBuf,
     dir: PathBuf,
@@ -35,8 +37,9 @@
         dir: &Path,
         recorder: &Recorder,
     ) -> Result<HostProcess, String> {
+        let dir = &std::path::absolute(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
         let file = dir.join(format!("host-{number}.hcl"));
-        std::fs::write(&file, script.host_file(number, listen, list))
+        std::fs::write(&file, script.host_file(number, listen, list, dir))
             .map_err(|e| format!("{}: {e}", file.display()))?;
         let log = dir.join(format!("host-{number}.log"));
         let log = std::fs::OpenOptions::new()
@@ -74,11 +77,12 @@
             ));
         };
         let (binary, dir) = (binary.to_owned(), dir.to_owned());
-        Ok(HostProcess { number, address, child, binary, dir })
+        Ok(HostProcess { number, address, is_up: true, child, binary, dir })
     }
 
     /// Ends it without any warning.
     pub fn kill(&mut self, recorder: &Recorder) {
+        self.is_up = false;
         _ = self.child.kill();
         _ = self.child.wait();
         recorder.note(Event::HostDown { host: self.number });
@@ -130,6 +134,8 @@
 pub struct Nodes {
     pub by_name: BTreeMap<String, (NodesBlock, Node)>,
     scopes: BTreeMap<u32, Arc<Marks>>,
+    /// Bytes by shard: they outlive the nodes.
+    stores: BTreeMap<u32, Arc<Mutex<Store>>>,
     window_s: f64,
     zone_scope: bool,
     all_scope: bool,
@@ -149,6 +155,7 @@
         let mut nodes = Nodes {
             by_name: BTreeMap::new(),
             scopes: BTreeMap::new(),
+            stores: BTreeMap::new(),
             window_s: groups.iter().map(|(_, w)| *w).fold(0.0, f64::max),
             zone_scope: groups.iter().any(|(g, _)| *g == Group::Zone),
             all_scope: groups.iter().any(|(g, _)| *g == Group::All),
@@ -182,6 +189,7 @@
             marks: self.scopes.entry(scope).or_default().clone(),
             window_s: self.window_s,
             cold,
+            store: self.stores.entry(shard).or_default().clone(),
             receive_bytes: block.receive_bytes,
             recorder: self.recorder.clone(),
         };
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{entry, HostProcess, Nodes};
 use crate::report::{Report, Served};
-use crate::script::{Action, Misuse, Script};
+use crate::script::{admin_socket, Action, Misuse, Script};
 use crate::traffic::{Flow, Tally};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
@@ -11,10 +11,13 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use tackmast::interface::{Effect, Group};
-use tackmast_standins::initiator::{Initiator, Login, Reply};
+use tackmast_admin::{Answer, Call};
+use tackmast_hostcore::{Ask, Reply};
+use tackmast_overrides::{Kind, Order, Target};
+use tackmast_standins::initiator::{self, Initiator, Login};
 use tackmast_standins::list::{ListFault, NodeList};
 use tackmast_standins::node::Fault;
-use tackmast_trace::{EffectKind, Event, Facts, Line, Recorder, StreamFacts, VolumeFacts};
+use tackmast_trace::{now_us, EffectKind, Event, Facts, Line, Recorder, StreamFacts, VolumeFacts};
 use tackmast_wire::iscsi::{op, Digests, Pdu, FINAL, READS};
 use tackmast_wire::list::State;
 use tackmast_wire::scsi::Command;
@@ -87,6 +90,14 @@
     })
 }
 
+struct Standing {
+    ends_us: u64,
+    host: u32,
+    nodes: Vec<String>,
+    out: bool,
+    id: u64,
+}
+
 struct Stage<'a> {
     script: &'a Script,
     recorder: Recorder,
@@ -96,6 +107,9 @@
     addresses: Arc<RwLock<Vec<SocketAddr>>>,
     flows: Vec<Arc<Flow>>,
     starts: BTreeMap<String, u64>,
+    /// Orders that stand: when each ends, its host, its node, its number.
+    orders: Vec<Standing>,
+    dir: std::path::PathBuf,
     failures: Vec<String>,
     misuses: Vec<std::thread::JoinHandle<Option<String>>>,
 }
@@ -135,6 +149,8 @@
         addresses,
         flows,
         starts,
+        orders: Vec::new(),
+        dir: dir.to_owned(),
         failures: Vec::new(),
         misuses: Vec::new(),
     };
@@ -159,7 +175,7 @@
             for (i, trouble) in self.script.troubles.iter().enumerate() {
                 if t >= trouble.at_s && begun.insert(i) {
                     self.recorder.note(Event::Trouble { what: trouble.name.clone(), on: true });
-                    self.begin(&trouble.action);
+                    self.begin(&trouble.action, trouble.for_s);
                 }
                 let until = trouble.at_s + trouble.for_s;
                 if begun.contains(&i) && !ended.contains(&i) {
@@ -174,6 +190,7 @@
                 }
             }
             self.tell_list();
+            self.look_at_orders();
             std::thread::sleep(LOOK);
         }
         for f in &self.flows {
@@ -185,7 +202,70 @@
         Ok(())
     }
 
-    fn begin(&mut self, action: &Action) {
+    /// Gives the order to each host, as an operator would, and notes what was acknowledged.
+    fn order(&mut self, hosts: &[u32], order: &Order, refused: bool) {
+        let all: Vec<u32> = (0..self.script.day.hosts).collect();
+        for host in if hosts.is_empty() { &all } else { hosts } {
+            let (order, force, dry_run, if_version) = (order.clone(), false, false, None);
+            let call = Call::Ask(Ask::Set { order, force, dry_run, if_version });
+            let socket = admin_socket(&self.dir, *host);
+            match tackmast_admin::call(&socket, &call, Duration::from_secs(5)) {
+                Ok(Answer::Reply(r)) => match (*r, refused) {
+                    (Reply::Set { record, preview, .. }, false) => {
+                        let out = record.kind == Kind::OutOfService;
+                        let nodes: Vec<String> =
+                            preview.changes.iter().map(|(a, _, _)| a.to_string()).collect();
+                        for node in nodes.iter().filter(|_| out) {
+                            self.recorder.note(Event::Ordered { host: *host, node: node.clone(), out: true });
+                        }
+                        let (ends_us, id) = (record.ends_us, record.id.0);
+                        self.orders.push(Standing { ends_us, host: *host, nodes, out, id });
+                    }
+                    (Reply::Refused(_), true) => {}
+                    (other, _) => self.failures.push(format!("order at host {host}: {other:?}")),
+                },
+                other => self.failures.push(format!("order at host {host}: {other:?}")),
+            }
+        }
+    }
+
+    /// Orders whose end has come must not be visible any more; nodes they held may be used again.
+    fn look_at_orders(&mut self) {
+        let now = now_us();
+        let (over, stand): (Vec<Standing>, Vec<Standing>) =
+            std::mem::take(&mut self.orders).into_iter().partition(|o| o.ends_us <= now);
+        self.orders = stand;
+        for o in over {
+            for node in o.nodes.iter().filter(|_| o.out) {
+                // From the very end on, not from when it was looked at.
+                self.recorder
+                    .note_at(o.ends_us, Event::Ordered { host: o.host, node: node.clone(), out: false });
+            }
+            let up = self.hosts.get(o.host as usize).and_then(Option::as_ref).is_some_and(|h| h.is_up);
+            if !up {
+                continue;
+            }
+            std::thread::sleep(
+                Duration::from_millis(100).saturating_sub(Duration::from_micros(now - o.ends_us)),
+            );
+            let call = Call::Ask(Ask::List);
+            match tackmast_admin::call(&admin_socket(&self.dir, o.host), &call, Duration::from_secs(5)) {
+                Ok(Answer::Reply(r)) => {
+                    if let Reply::List { standing, .. } = *r {
+                        if standing.iter().any(|(s, _)| s.id.0 == o.id) {
+                            self.failures.push(format!(
+                                "override {} of host {} is visible past its end",
+                                o.id, o.host
+                            ));
+                        }
+                    }
+                }
+                other => self.failures.push(format!("list of host {}: {other:?}", o.host)),
+            }
+        }
+    }
+
+    fn begin(&mut self, action: &Action, for_s: f64) {
         match action {
             Action::Nodes { nodes, fault } => self.nodes_do(nodes, fault),
             Action::List(fault) => self.list.set(fault),
@@ -215,6 +295,15 @@
                 }
             }
             Action::Ageing { .. } | Action::Pauses { .. } => {}
+            Action::Order { hosts, kind, target, nodes, refused } => {
+                let named = self.nodes.named(nodes);
+                let address = |n: &String| self.nodes.node(n).map(|n| Target::Node(n.address()));
+                let targets: Vec<Target> = named.iter().filter_map(address).chain(*target).collect();
+                for target in targets {
+                    let (reason, who) = ("the script says so".to_owned(), "day".to_owned());
+                    self.order(hosts, &Order { target, kind: *kind, reason, who, seconds: for_s }, *refused);
+                }
+            }
         }
     }
 
@@ -262,7 +351,7 @@
                 self.nodes_do(nodes, &Fault::Slow(1.0));
                 self.nodes_do(nodes, &Fault::Restart(*down_s));
             }
-            Action::Pauses { .. } | Action::Move { .. } | Action::Client { .. } => {}
+            Action::Pauses { .. } | Action::Move { .. } | Action::Client { .. } | Action::Order { .. } => {}
             Action::List(ListFault::Late(_)) => self.list.set(&ListFault::Late(self.script.list_late_s)),
             Action::List(ListFault::Fails(_)) => self.list.set(&ListFault::Fails(false)),
             Action::List(ListFault::Silent(_)) => self.list.set(&ListFault::Silent(false)),
@@ -450,7 +539,7 @@
             client.raw(&pdu.head);
             client.simple(1, 0, Command::ReportLuns { most: 64 }, 64);
             match replies.recv_timeout(patience) {
-                Ok((1, Reply::Done(_))) => Ok(()),
+                Ok((1, initiator::Reply::Done(_))) => Ok(()),
                 other => {
                     fail(&format!("{other:?} after a command past the window; expected its next one done"))
                 }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use tackmast_config::document::Place;
 use tackmast_config::{ConfigError, Document, HostSettings};
+use tackmast_overrides::{Kind, Target};
 use tackmast_standins::list::ListFault;
 use tackmast_standins::model::Nature;
 use tackmast_standins::node::Fault;
@@ -202,6 +203,10 @@
     #[serde(default)]
     moves: bool,
     client: Option<String>,
+    order: Option<String>,
+    target: Option<String>,
+    #[serde(default)]
+    refused: bool,
 }
 
 /// What a trouble does at its time; most are undone at its end.
@@ -241,6 +246,16 @@
     Move {
         traffic: Vec<String>,
     },
+    /// An operator's order at each of these hosts, for the trouble's length; at all hosts where none is named.
+    Order {
+        hosts: Vec<u32>,
+        kind: Kind,
+        /// A target as operators write it, or nodes of the script.
+        target: Option<Target>,
+        nodes: Vec<String>,
+        /// It must be refused.
+        refused: bool,
+    },
     /// A client at each host that breaks the protocol.
     Client {
         hosts: Vec<u32>,
@@ -439,15 +454,31 @@
     }
 
     /// The settings file of one host.
-    pub fn host_file(&self, host: u32, listen: SocketAddr, list: SocketAddr) -> String {
+    pub fn host_file(
+        &self,
+        host: u32,
+        listen: SocketAddr,
+        list: SocketAddr,
+        dir: &std::path::Path,
+    ) -> String {
         let extra = format!(
             "  answer_lead_ms = {}\n  tick_ms = {}\n",
             self.settings.host.answer_lead_ms, self.settings.host.tick_ms
         );
-        host_text(&self.host_blocks, &extra, host, &self.day, Some(listen), Some(list))
+        let (store, admin) = (dir.join(format!("host-{host}.redb")), admin_socket(dir, host));
+        let orders = format!(
+            "overrides {{\n  store = {:?}\n  admin = {:?}\n}}\n",
+            store.display().to_string(),
+            admin.display().to_string()
+        );
+        host_text(&self.host_blocks, &extra, host, &self.day, Some(listen), Some(list)) + "\n" + &orders
     }
 }
 
+pub fn admin_socket(dir: &std::path::Path, host: u32) -> std::path::PathBuf {
+    dir.join(format!("host-{host}.admin"))
+}
+
 fn is_one_of(wanted: &str, name: &str, block: &NodesBlock) -> bool {
     wanted
         .strip_prefix(name)
@@ -511,6 +542,19 @@
     if !t.drain.is_empty() {
         return Ok(Action::Drain { nodes: t.drain.clone() });
     }
+    if let Some(order) = &t.order {
+        let words: Vec<&str> = order.split_whitespace().collect();
+        let kind = match words.as_slice() {
+            ["out"] => Kind::OutOfService,
+            ["pin"] => Kind::Pinned,
+            ["weight", w] => Kind::Weight(number("order", w)?),
+            _ => return Err(("order", order.clone(), "out, pin or weight X".into())),
+        };
+        let target =
+            t.target.as_deref().map(str::parse).transpose().map_err(|e| ("target", String::new(), e))?;
+        let (hosts, nodes) = (t.hosts.clone(), t.nodes.clone());
+        return Ok(Action::Order { hosts, kind, target, nodes, refused: t.refused });
+    }
     if let Some(client) = &t.client {
         let how = match client.as_str() {
             "garbage" => Misuse::Garbage,
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -113,6 +113,7 @@
             marks: marks.clone(),
             window_s: 5.0,
             cold: false,
+            store: Arc::default(),
             receive_bytes: 0,
             recorder: recorder.clone(),
         })
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -86,6 +86,7 @@
                 marks: marks.clone(),
                 window_s: 1.0,
                 cold: false,
+                store: Arc::default(),
                 receive_bytes: 0,
                 recorder: Recorder::off(),
             })
--- a/crates/rulecheck/src/index.rs
+++ b/crates/rulecheck/src/index.rs
@@ -82,6 +82,8 @@
     /// Indices of each transfer's legs, by arrival.
     pub xfers: BTreeMap<(u32, u64, u64), Vec<usize>>,
     pub told: HashMap<(u32, String), Vec<Told>>,
+    /// By host and node: from when on operators have it out of service, and from when on no longer.
+    pub ordered: HashMap<(u32, String), Vec<(u64, bool)>>,
     pub lives: Vec<NodeLife>,
     pub host_ups: Vec<(u64, u32)>,
     pub end: u64,
@@ -101,6 +103,7 @@
             legs: Vec::new(),
             xfers: BTreeMap::new(),
             told: HashMap::new(),
+            ordered: HashMap::new(),
             lives: Vec::new(),
             host_ups: Vec::new(),
             end: lines.last().map_or(0, |l| l.t),
@@ -210,6 +213,9 @@
                         }
                     }
                 }
+                Event::Ordered { host, node, out } => {
+                    x.ordered.entry((*host, node.clone())).or_default().push((t, *out));
+                }
                 Event::Told { host, node, state, started_us } => {
                     let told = Told { t, state: *state, started_us: *started_us };
                     x.told.entry((*host, node.clone())).or_default().push(told);
--- a/crates/rulecheck/src/rules.rs
+++ b/crates/rulecheck/src/rules.rs
@@ -177,6 +177,21 @@
             breaks.push(broken(x, 3, leg, what));
         }
     }
+    // An operator's order counts as told from the moment it was acknowledged.
+    for ((host, node), orders) in &x.ordered {
+        checked += orders
+            .iter()
+            .filter(|(t, out)| *out && used.get(&(*host, node.as_str())).is_some_and(|f| f <= t))
+            .count();
+    }
+    for leg in &x.legs {
+        let Some(orders) = x.ordered.get(&(leg.name.host, leg.node.clone())) else { continue };
+        let Some((t, out)) = orders.iter().rev().find(|(t, _)| *t <= leg.t) else { continue };
+        if *out && leg.t > t + x.facts.grace_us + x.facts.skew_us {
+            let what = format!("{} ms after its host had it out of service", ms(leg.t - t));
+            breaks.push(broken(x, 3, leg, what));
+        }
+    }
     report(3, "drains", "times a host was told to stop", checked, breaks)
 }
 
--- a/crates/rulecheck/tests/doctored.rs
+++ b/crates/rulecheck/tests/doctored.rs
@@ -198,6 +198,14 @@
                 .told(390, 0, "a", Ready, 0)
                 .served(400, "a", 2, 0);
         }),
+        ("ordered out of service", 3, |s| {
+            s.served(50, "a", 1, 0).at(100, Event::Ordered { host: 0, node: "a".into(), out: true });
+            s.served(400, "a", 2, 0);
+        }),
+        ("its order has ended", 0, |s| {
+            s.served(50, "a", 1, 0).at(100, Event::Ordered { host: 0, node: "a".into(), out: true });
+            s.at(390, Event::Ordered { host: 0, node: "a".into(), out: false }).served(400, "a", 2, 0);
+        }),
         ("a cold node is pushed over", 4, |s| {
             s.at(1000, up("a", 0, 0, 0.2)).told(1001, 0, "a", Ready, 1000);
             (1..12).for_each(|i| _ = s.served(1010 + u64::from(i) * 10, "a", i, 0));
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -37,6 +37,7 @@
 #[derive(Default)]
 struct Known {
     entries: BTreeMap<String, Entry>,
+    order: Vec<String>,            // as they were first put in
     base: BTreeMap<String, Entry>, // as of the change before the oldest kept
     changes: Vec<Change>,
     told: HashMap<u32, HashMap<String, Entry>>, // by host
@@ -61,7 +62,8 @@
         for c in self.changes.iter().filter(|c| c.version <= to) {
             seen.insert(&c.entry.address, &c.entry);
         }
-        seen.into_values().filter(|e| e.state != State::Gone).cloned().collect()
+        let named = self.order.iter().filter_map(|a| seen.get(a.as_str()));
+        named.filter(|e| e.state != State::Gone).map(|e| (*e).clone()).collect()
     }
 
     fn since(&self, from: u64, to: u64) -> Option<Vec<Entry>> {
@@ -121,7 +123,9 @@
             }
             known.version += 1;
             let version = known.version;
-            known.entries.insert(entry.address.clone(), entry.clone());
+            if known.entries.insert(entry.address.clone(), entry.clone()).is_none() {
+                known.order.push(entry.address.clone());
+            }
             known.changes.push(Change { at, version, entry });
         }
         let over = known.changes.len().saturating_sub(KEPT);
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -55,6 +55,8 @@
     pub window_s: f64,
     /// Whether it starts cold.
     pub cold: bool,
+    /// Its bytes; a successor of the same shard is given those of the node it replaces.
+    pub store: Arc<Mutex<Store>>,
     /// Bytes that its sockets take while it does not read; 0: as many as the system likes.
     pub receive_bytes: usize,
     pub recorder: Recorder,
@@ -166,7 +168,6 @@
     model: Model,
     ills: SocketIlls,
     chance: oorandom::Rand64,
-    store: Store,
     held: HashMap<u64, Held>,
     next: u64,
     conns: HashMap<u64, Conn>,
@@ -208,7 +209,6 @@
             model,
             ills: SocketIlls::default(),
             chance: oorandom::Rand64::new(u128::from(settings.seed) + 1),
-            store: Store::default(),
             held: HashMap::new(),
             next: 0,
             conns: HashMap::new(),
@@ -367,8 +367,7 @@
         for id in s.model.held() {
             if s.chance.rand_float() < 0.5 {
                 if let Some(held) = s.held.get(&id) {
-                    let leg = held.leg.clone();
-                    self.apply(s, &leg);
+                    self.apply(&held.leg);
                 }
             }
         }
@@ -446,9 +445,9 @@
             let mut data = Bytes::new();
             let (outcome, kind) = match how {
                 How::Done => {
-                    let ran = self.apply(s, &held.leg);
+                    let ran = self.apply(&held.leg);
                     if let Work::Read { length } = held.leg.work {
-                        data = s.store.read(held.leg.volume, held.leg.offset, length);
+                        data = lock(&self.settings.store).read(held.leg.volume, held.leg.offset, length);
                     }
                     (NodeOutcome::Done, (LegEndKind::Done, ran))
                 }
@@ -474,13 +473,13 @@
     }
 
     /// The effect of a leg; false: it was a repeat, and dropped.
-    fn apply(&self, s: &mut State, leg: &SendLeg) -> bool {
+    fn apply(&self, leg: &SendLeg) -> bool {
         let window = (self.settings.window_s * 1e6) as u64;
         if leg.mark != 0 && !self.settings.marks.first(now_us(), leg.mark, window) {
             return false;
         }
         if let Work::Write { data } = &leg.work {
-            s.store.write(leg.volume, leg.offset, data);
+            lock(&self.settings.store).write(leg.volume, leg.offset, data);
         }
         true
     }
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -187,6 +187,12 @@
         state: ListedState,
         started_us: u64,
     },
+    /// Operator side: the host has said that it holds the node out of service, or that it no longer does.
+    Ordered {
+        host: u32,
+        node: String,
+        out: bool,
+    },
     /// A trouble of the script begins or ends.
     Trouble {
         what: String,
