--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -203,10 +203,10 @@
     }
 
     /// Gives the order to each host, as an operator would, and notes what was acknowledged.
-    fn order(&mut self, hosts: &[u32], order: &Order, refused: bool) {
+    fn order(&mut self, hosts: &[u32], order: &Order, refused: bool, force: bool) {
         let all: Vec<u32> = (0..self.script.day.hosts).collect();
         for host in if hosts.is_empty() { &all } else { hosts } {
-            let (order, force, dry_run, if_version) = (order.clone(), false, false, None);
+            let (order, dry_run, if_version) = (order.clone(), false, None);
             let call = Call::Ask(Ask::Set { order, force, dry_run, if_version });
             let socket = admin_socket(&self.dir, *host);
             match tackmast_admin::call(&socket, &call, Duration::from_secs(5)) {
@@ -295,13 +295,18 @@
                 }
             }
             Action::Ageing { .. } | Action::Pauses { .. } => {}
-            Action::Order { hosts, kind, target, nodes, refused } => {
+            Action::Order { hosts, kind, target, nodes, refused, force } => {
                 let named = self.nodes.named(nodes);
                 let address = |n: &String| self.nodes.node(n).map(|n| Target::Node(n.address()));
                 let targets: Vec<Target> = named.iter().filter_map(address).chain(*target).collect();
                 for target in targets {
                     let (reason, who) = ("the script says so".to_owned(), "day".to_owned());
-                    self.order(hosts, &Order { target, kind: *kind, reason, who, seconds: for_s }, *refused);
+                    self.order(
+                        hosts,
+                        &Order { target, kind: *kind, reason, who, seconds: for_s },
+                        *refused,
+                        *force,
+                    );
                 }
             }
         }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -207,6 +207,8 @@
     target: Option<String>,
     #[serde(default)]
     refused: bool,
+    #[serde(default)]
+    force: bool,
 }
 
 /// What a trouble does at its time; most are undone at its end.
@@ -255,6 +257,7 @@
         nodes: Vec<String>,
         /// It must be refused.
         refused: bool,
+        force: bool,
     },
     /// A client at each host that breaks the protocol.
     Client {
@@ -553,7 +556,7 @@
         let target =
             t.target.as_deref().map(str::parse).transpose().map_err(|e| ("target", String::new(), e))?;
         let (hosts, nodes) = (t.hosts.clone(), t.nodes.clone());
-        return Ok(Action::Order { hosts, kind, target, nodes, refused: t.refused });
+        return Ok(Action::Order { hosts, kind, target, nodes, refused: t.refused, force: t.force });
     }
     if let Some(client) = &t.client {
         let how = match client.as_str() {
--- /dev/null
+++ b/days/measure/return-ill-order.hcl
@@ -0,0 +1,47 @@
+# Measures how a node comes back in a surge: with `return-order` it was out by an operator's order and comes back
+# slowly; with `return-list` the list had it drained and it is ready at once. All else is the same.
+
+day {
+  base    = "../pool.hcl"
+  seconds = 14
+  hosts   = 4
+  seed    = 21
+}
+
+traffic "visitors" {
+  volume   = "museum"
+  hosts    = [0, 1]
+  sessions = 4
+  rate     = 160
+  blocks   = [1, 64]
+}
+
+traffic "takes" {
+  volume   = "studio"
+  hosts    = [2, 3]
+  sessions = 4
+  rate     = 160
+  reads    = 0.4
+  blocks   = [1, 32]
+}
+
+trouble "surge" {
+  at_s  = 4
+  for_s = 9
+  times = 2.5
+}
+
+trouble "out and back" {
+  at_s  = 2
+  for_s = 4
+  nodes = ["a/0"]
+  order = "out"
+  force = true
+}
+
+trouble "what it was taken out for is not over" {
+  at_s  = 1.5
+  for_s = 7.5
+  nodes = ["a/0"]
+  fault = "slow 8"
+}
--- a/days/measure/return-order.hcl
+++ b/days/measure/return-order.hcl
@@ -36,4 +36,5 @@
   for_s = 4
   nodes = ["a/0"]
   order = "out"
+  force = true
 }
