A second protocol: NBD sessions beside the iSCSI-style ones, with answers told apart

Cause: the operators want client libraries for two protocols. Change: a codec and a session state machine for NBD's fixed newstyle handshake and transmission phase, simple and structured replies, flush and FUA; an option of our own by which a client is told deferred from abandoned, gives expiries and cancels; to others both are an I/O error, which promises nothing. The shell serves both behind one face; a client without a window of its own is paused when it has too many open.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -14,6 +14,9 @@
     let host = Host::start(settings).map_err(|e| e.to_string())?;
     // Whoever started this reads the address here, as port 0 takes any that is free.
     println!("listening {}", host.address);
+    if let Some(nbd) = host.nbd {
+        println!("listening-nbd {nbd}");
+    }
     _ = std::io::stdout().flush();
     let signal = signals.forever().next();
     if let Some(s) = host.status() {
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -13,8 +13,9 @@
     /// This host's number, from 0, and how many hosts share the pool.
     pub number: u32,
     pub hosts: u32,
-    /// Where clients connect, and where the node list answers.
+    /// Where clients connect with iSCSI and, where that is wanted, with NBD, and where the node list answers.
     pub listen: SocketAddr,
+    pub listen_nbd: Option<SocketAddr>,
     pub node_list: SocketAddr,
     #[serde(default = "target_name")]
     pub target: String,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -43,6 +43,8 @@
 /// A running host.
 pub struct Host {
     pub address: SocketAddr,
+    /// Where NBD clients connect.
+    pub nbd: Option<SocketAddr>,
     stopping: Arc<AtomicBool>,
     urgent: Sender<core_thread::Event>,
     threads: Vec<JoinHandle<()>>,
@@ -87,8 +89,12 @@
     pub fn start(settings: HostSettings) -> Result<Host, StartError> {
         let clock = Clock::new();
         let address = settings.host.listen;
-        let listener = TcpListener::bind(address).map_err(|error| StartError::Listen { address, error })?;
-        let address = listener.local_addr().map_err(|error| StartError::Listen { address, error })?;
+        let listen = |address: SocketAddr| {
+            let bound = TcpListener::bind(address).and_then(|l| Ok((l.local_addr()?, l)));
+            bound.map_err(|error| StartError::Listen { address, error })
+        };
+        let (address, listener) = listen(address)?;
+        let nbd = settings.host.listen_nbd.map(listen).transpose()?;
         let life = clock.unix_us(clock.now()) << 12 | u64::from(settings.host.number & 0xfff);
         let seed = settings.host.seed.unwrap_or(life ^ u64::from(std::process::id()) << 32);
         let mut core = Core::new(clock.now(), &settings, seed, life);
@@ -114,9 +120,14 @@
             list,
             to_store,
         )?);
-        threads.push(sessions::start(listener, settings, units, clock, events, stopping.clone())?);
-        tracing::info!(%address, life, "host listens");
-        Ok(Host { address, stopping, urgent, threads })
+        let house = sessions::house(settings, units, clock, events);
+        threads.push(sessions::start(house.clone(), listener, sessions::Protocol::Iscsi, stopping.clone())?);
+        let nbd_address = nbd.as_ref().map(|(a, _)| *a);
+        if let Some((_, listener)) = nbd {
+            threads.push(sessions::start(house, listener, sessions::Protocol::Nbd, stopping.clone())?);
+        }
+        tracing::info!(%address, nbd = ?nbd_address, life, "host listens");
+        Ok(Host { address, nbd: nbd_address, stopping, urgent, threads })
     }
 
     /// Figures of this moment; none where the host has stopped.
@@ -131,7 +142,9 @@
         self.stopping.store(true, Ordering::Release);
         _ = self.urgent.send(core_thread::Event::Stop);
         // The listener waits for a connection: this one wakes it.
-        _ = std::net::TcpStream::connect_timeout(&self.address, std::time::Duration::from_secs(1));
+        for address in [Some(self.address), self.nbd].into_iter().flatten() {
+            _ = std::net::TcpStream::connect_timeout(&address, std::time::Duration::from_secs(1));
+        }
         for t in self.threads.drain(..) {
             _ = t.join();
         }
--- a/crates/host/src/sessions.rs
+++ b/crates/host/src/sessions.rs
@@ -14,7 +14,7 @@
 use tackmast_config::HostSettings;
 use tackmast_hostcore::{CommandRef, Layout, Verdict, Work};
 use tackmast_target as target;
-use tackmast_target::{Offer, Session};
+use tackmast_target::{AnySession, NbdSession, Offer, Session};
 use tackmast_wire::scsi::Unit;
 
 /// Output of one session that may wait for its client before no more of its input is read.
@@ -45,13 +45,20 @@
     Arc::new(s.volumes.iter().enumerate().map(unit).collect())
 }
 
-struct House {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    Iscsi,
+    Nbd,
+}
+
+pub struct House {
     settings: Arc<HostSettings>,
     units: Arc<Vec<Unit>>,
     offer: Arc<Offer>,
     clock: Clock,
     events: Sender<Event>,
-    open: Mutex<HashSet<u16>>,
+    /// Numbers of open sessions, and the last one given.
+    open: Mutex<(HashSet<u16>, u16)>,
     turned_away: Mutex<usize>,
 }
 
@@ -59,14 +66,13 @@
     m.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-pub fn start(
-    listener: TcpListener,
+/// What all listeners share.
+pub fn house(
     settings: Arc<HostSettings>,
     units: Arc<Vec<Unit>>,
     clock: Clock,
     events: Sender<Event>,
-    stopping: Arc<AtomicBool>,
-) -> Result<JoinHandle<()>, StartError> {
+) -> Arc<House> {
     let b = &settings.bounds;
     let longest = settings.streams.iter().map(|s| s.expiry.secs()).fold(1.0, f64::max);
     let offer = Arc::new(Offer {
@@ -78,16 +84,23 @@
         most_command: b.command_bytes,
         expiry_ms: (settings.host.answer_lead_ms as u32 + 10, (longest * 1e4) as u32),
     });
-    let (open, turned_away) = (Mutex::new(HashSet::new()), Mutex::new(0));
-    let house = Arc::new(House { settings, units, offer, clock, events, open, turned_away });
+    let (open, turned_away) = (Mutex::new((HashSet::new(), 0)), Mutex::new(0));
+    Arc::new(House { settings, units, offer, clock, events, open, turned_away })
+}
+
+pub fn start(
+    house: Arc<House>,
+    listener: TcpListener,
+    protocol: Protocol,
+    stopping: Arc<AtomicBool>,
+) -> Result<JoinHandle<()>, StartError> {
     crate::thread("listen".into(), move || {
-        let mut last = 0;
         for stream in listener.incoming() {
             if stopping.load(Ordering::Acquire) {
                 return;
             }
             match stream {
-                Ok(stream) => house.clone().admit(stream, &mut last),
+                Ok(stream) => house.clone().admit(stream, protocol),
                 // Out of descriptors, say: others come free.
                 Err(e) => {
                     tracing::warn!("accept: {e}");
@@ -99,8 +112,8 @@
 }
 
 impl House {
-    fn admit(self: Arc<Self>, stream: TcpStream, last: &mut u16) {
-        let full = lock(&self.open).len() >= self.settings.bounds.sessions;
+    fn admit(self: Arc<Self>, stream: TcpStream, protocol: Protocol) {
+        let full = lock(&self.open).0.len() >= self.settings.bounds.sessions;
         if full {
             let mut away = lock(&self.turned_away);
             if *away >= TURNED_AWAY {
@@ -108,33 +121,34 @@
             }
             *away += 1;
         }
-        let number = if full { 0 } else { self.number(last) };
+        let number = if full { 0 } else { self.number() };
         let house = self.clone();
         let run = move || {
-            house.serve(stream, number);
+            house.serve(stream, number, protocol);
             match number {
                 0 => *lock(&house.turned_away) -= 1,
-                n => _ = lock(&house.open).remove(&n),
+                n => _ = lock(&house.open).0.remove(&n),
             }
         };
         if let Err(e) = crate::thread(format!("session {number}"), run) {
             tracing::warn!("{e}");
-            lock(&self.open).remove(&number);
+            lock(&self.open).0.remove(&number);
         }
     }
 
     /// A number that no open session has.
-    fn number(&self, last: &mut u16) -> u16 {
+    fn number(&self) -> u16 {
         let mut open = lock(&self.open);
+        let (numbers, last) = &mut *open;
         loop {
             *last = last.wrapping_add(1).max(1);
-            if open.insert(*last) {
+            if numbers.insert(*last) {
                 return *last;
             }
         }
     }
 
-    fn serve(&self, mut stream: TcpStream, number: u16) {
+    fn serve(&self, mut stream: TcpStream, number: u16, protocol: Protocol) {
         let b = &self.settings.bounds;
         let client = stream.peer_addr().map_or("unknown".to_owned(), |a| a.to_string());
         let ready = stream
@@ -146,7 +160,11 @@
             Ok(c) => c,
             Err(e) => return tracing::warn!(client, "socket: {e}"),
         };
-        let mut session = Session::new(self.offer.clone(), self.units.clone(), number);
+        let (offer, units) = (self.offer.clone(), self.units.clone());
+        let mut session = match protocol {
+            Protocol::Iscsi => AnySession::Iscsi(Session::new(offer, units, number)),
+            Protocol::Nbd => AnySession::Nbd(NbdSession::new(offer, units)),
+        };
         if number == 0 {
             tracing::warn!(client, "sessions: {} are open; this one is turned away", b.sessions);
             session.turn_away();
@@ -172,6 +190,8 @@
                 return;
             }
         }
+        // A server of some protocols speaks first.
+        slot.poke(&to);
         self.read(&mut stream, &slot, &to, number, &client);
         slot.poke(&to);
         slot.ended.store(true, Ordering::Release);
@@ -199,73 +219,84 @@
                 }
                 Err(_) => return,
             };
-            let at = self.clock.now();
-            let mut s = lock(&slot.session);
-            let taken = s.take(&buffer[..n]);
-            let mut events = Vec::new();
-            while let Some(e) = s.next_event() {
-                events.push(e);
-            }
-            let (output, full, over) = (s.pending() > 0, s.is_full(), s.is_over());
-            drop(s);
-            if full && !logged_in {
-                logged_in = true;
-                _ = stream.set_read_timeout(None);
-            }
-            for e in events {
-                let event = match e {
-                    target::Event::Begun { command } => {
-                        began.insert(command, at);
-                        continue;
-                    }
-                    target::Event::Submit { command, lun, block, work, expiry_ms } => Event::Submit {
-                        from: CommandRef { session, command },
-                        lun,
-                        block,
-                        work: match work {
-                            target::Work::Read { blocks } => Work::Read { blocks },
-                            target::Work::Write { data } => Work::Write { data },
+            let mut piece = &buffer[..n];
+            let mut at = self.clock.now();
+            loop {
+                let mut s = lock(&slot.session);
+                let taken = s.take(piece);
+                piece = &[];
+                let mut events = Vec::new();
+                while let Some(e) = s.next_event() {
+                    events.push(e);
+                }
+                let (output, full, over) = (s.pending() > 0, s.is_full(), s.is_over());
+                drop(s);
+                if full && !logged_in {
+                    logged_in = true;
+                    _ = stream.set_read_timeout(None);
+                }
+                for e in events {
+                    let event = match e {
+                        target::Event::Begun { command } => {
+                            began.insert(command, at);
+                            continue;
+                        }
+                        target::Event::Submit { command, lun, block, work, expiry_ms } => Event::Submit {
+                            from: CommandRef { session, command },
+                            lun,
+                            block,
+                            work: match work {
+                                target::Work::Read { blocks } => Work::Read { blocks },
+                                target::Work::Write { data } => Work::Write { data },
+                            },
+                            began: began.remove(&command).unwrap_or(at),
+                            asked: expiry_ms.map(|ms| Span::from_secs(f64::from(ms) / 1e3)),
                         },
-                        began: began.remove(&command).unwrap_or(at),
-                        asked: expiry_ms.map(|ms| Span::from_secs(f64::from(ms) / 1e3)),
-                    },
-                    target::Event::Abort { command } => {
-                        began.remove(&command);
-                        Event::Abort { from: CommandRef { session, command } }
+                        target::Event::Abort { command } => {
+                            began.remove(&command);
+                            Event::Abort { from: CommandRef { session, command } }
+                        }
+                        target::Event::Close(why) => {
+                            tracing::debug!(client, session, ?why, "session ends");
+                            continue;
+                        }
+                        target::Event::Note(line) => {
+                            tracing::warn!(client, session, "{line}");
+                            continue;
+                        }
+                    };
+                    if self.events.send(event).is_err() {
+                        return;
                     }
-                    target::Event::Close(why) => {
-                        tracing::debug!(client, session, ?why, "session ends");
-                        continue;
-                    }
-                    target::Event::Note(line) => {
-                        tracing::warn!(client, session, "{line}");
-                        continue;
-                    }
-                };
-                if self.events.send(event).is_err() {
+                }
+                if output {
+                    slot.poke(to);
+                }
+                if let Err(e) = taken {
+                    return tracing::warn!(client, session, "{e}; the session is closed");
+                }
+                if over {
                     return;
                 }
-            }
-            if output {
-                slot.poke(to);
-            }
-            if let Err(e) = taken {
-                return tracing::warn!(client, session, "{e}; the session is closed");
-            }
-            if over {
-                return;
-            }
-            // A client that sends but does not read must not fill the memory.
-            let mut s = lock(&slot.session);
-            while s.pending() > OUTPUT && !slot.ended.load(Ordering::Acquire) {
-                s = slot.drained.wait(s).unwrap_or_else(PoisonError::into_inner);
+                // A client that sends but does not read must not fill the memory, nor one that sends without end.
+                let mut paused = false;
+                let mut s = lock(&slot.session);
+                while (s.pending() > OUTPUT || s.is_paused()) && !slot.ended.load(Ordering::Acquire) {
+                    s = slot.drained.wait(s).unwrap_or_else(PoisonError::into_inner);
+                    paused = true;
+                }
+                // What had come before the pause is looked at before more is read.
+                if !paused {
+                    break;
+                }
+                at = self.clock.now();
             }
         }
     }
 }
 
 struct Slot {
-    session: Mutex<Session>,
+    session: Mutex<AnySession>,
     drained: Condvar,
     poked: AtomicBool,
     ended: AtomicBool,
--- a/crates/overrides/src/returns.rs
+++ b/crates/overrides/src/returns.rs
@@ -9,7 +9,7 @@
 /// Share with which a node begins, steps until it has all, and the time that all steps take.
 const FIRST: f64 = 0.1;
 const STEPS: u32 = 10;
-pub const RISE_S: f64 = 4.0;
+pub const RISE_S: f64 = 2.0;
 /// Between the turns of two nodes, and for all of them together.
 const GAP_S: f64 = 0.25;
 pub const SPREAD_S: f64 = 5.0;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod iscsi;
 pub mod list;
+pub mod nbd;
 pub mod node;
 pub mod reader;
 pub mod scsi;
