Client libraries over both protocols, and one suite that gives the same answers through each

Cause: the content office and the sync stations reach storage in their own ways. Change: a client core without I/O (sessions of two protocols, a pool, retries only where they are safe and within a budget, an answer by the expiry at the latest) and a library round it; commands of the iSCSI-style protocol may carry their own expiry in a further header, as NBD commands do in the project's additions. Twelve cases as data, played through both against a host and stand-in nodes with faults on.

The first runs found retries sent so late that a known deferral became an unknown end; a try now leaves as much time as the one before it took. measure left its host running when it failed, and its loops could wait for nothing: mended.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -96,7 +96,7 @@
     if let Some((_, memory, threads)) = bench.host_use() {
         println!("host: {memory:.0} MiB resident, {threads} threads");
     }
-    bench.end();
+    drop(bench);
     _ = std::fs::remove_dir_all(&dir);
     let cost = core_cost(200_000)?;
     println!(
--- /dev/null
+++ b/crates/client/tests/suite.rs
@@ -0,0 +1,386 @@
+//! One suite of cases, written once, run through both transports against a host and stand-in nodes with faults on: the
+//! outcomes must be the same, line by line.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tackmast_client::{Client, Op, OpenError, Options, Outcome, Protocol, Speaks};
+use tackmast_config::HostSettings;
+use tackmast_host::Host;
+use tackmast_standins::list::NodeList;
+use tackmast_standins::model::Nature;
+use tackmast_standins::node::{Fault, Marks, Node, NodeSettings};
+use tackmast_trace::Recorder;
+use tackmast_wire::list::{Entry, State};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+struct Pool {
+    nodes: Vec<Node>,
+    list: NodeList,
+    host: Host,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Pool {
+    fn start() -> Pool {
+        let marks = Arc::new(Marks::default());
+        let node = |shard| {
+            Node::start(NodeSettings {
+                address: loopback(),
+                shard,
+                zone: 0,
+                nature: Nature { unit_s: 0.0005, cores: 2, ..Nature::default() },
+                seed: 1,
+                most_data: 1 << 20,
+                report_every: Duration::from_millis(50),
+                marks: marks.clone(),
+                window_s: 5.0,
+                cold: false,
+                store: Arc::default(),
+                receive_bytes: 0,
+                recorder: Recorder::off(),
+            })
+            .unwrap()
+        };
+        let nodes: Vec<Node> = (0..2).map(node).collect();
+        let list = NodeList::start(loopback(), Recorder::off()).unwrap();
+        list.put(nodes.iter().map(|n| Entry {
+            address: n.address().to_string(),
+            state: State::Ready,
+            zone: 0,
+            shard: n.shard(),
+            started_us: 0,
+        }));
+        let text = format!(
+            r#"
+            host {{
+              number = 0
+              hosts = 1
+              listen = "127.0.0.1:0"
+              listen_nbd = "127.0.0.1:0"
+              node_list = "{}"
+              seed = 7
+            }}
+            bounds {{
+              window = 16
+            }}
+            units {{
+              bytes = 4096
+              most = 8
+              mean = 2
+            }}
+            plan "basic" {{}}
+            stream "read" {{
+              slo_ms = 300
+              expiry_ms = 1000
+              effect = "repeatable"
+            }}
+            stream "write" {{
+              slo_ms = 300
+              expiry_ms = 1000
+              effect = "repeatable"
+            }}
+            stream "log" {{
+              slo_ms = 300
+              expiry_ms = 1000
+              effect = "unrepeatable"
+            }}
+            volume "museum" {{
+              lun = 0
+              plan = "basic"
+              blocks = 16384
+              extent_blocks = 64
+              shards = [0, 1]
+              hosts = 1
+              reads = "read"
+              writes = "write"
+            }}
+            volume "listening" {{
+              lun = 1
+              plan = "basic"
+              blocks = 16384
+              extent_blocks = 64
+              shards = [0, 1]
+              hosts = 1
+              reads = "read"
+              writes = "log"
+            }}
+            "#,
+            list.address
+        );
+        let host = Host::start(HostSettings::parse("test", &text).unwrap()).unwrap();
+        let until = Instant::now() + PATIENCE;
+        while host.status().is_none_or(|s| s.nodes.len() < 2) {
+            assert!(Instant::now() < until, "no node list");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Pool { nodes, list, host }
+    }
+
+    fn options(&self, protocol: Protocol, volume: &str) -> Options {
+        let address = match protocol {
+            Protocol::Iscsi => self.host.address,
+            Protocol::Nbd => self.host.nbd.unwrap(),
+        };
+        let lun = u32::from(volume == "listening");
+        Options {
+            expiry: Duration::from_millis(900),
+            seed: 5,
+            ..Options::new(protocol, address, volume, lun)
+        }
+    }
+
+    fn end(self) {
+        self.host.stop();
+        self.list.stop();
+        self.nodes.iter().for_each(Node::stop);
+    }
+}
+
+/// What a case does, in turn.
+enum Step {
+    Write(u64, u32, u8),
+    Read(u64, u32),
+    Flush,
+    /// Begun with this expiry and answered by it.
+    Within(Duration, u64, u32),
+    /// Begun and taken back at once.
+    Cancelled(u64, u32),
+    /// So many reads at a time.
+    Many(u32),
+    Fault(usize, Fault),
+    /// All connections of clients and nodes end.
+    Wait(Duration),
+}
+use Step::*;
+
+/// The outcome as a line; what may differ between runs is left out.
+fn line(o: &Outcome) -> String {
+    match o {
+        Outcome::Done(data) => {
+            let sum = data.iter().fold(0u64, |s, b| s.wrapping_mul(31).wrapping_add(u64::from(*b)));
+            format!("done {} bytes {sum:x}", data.len())
+        }
+        Outcome::Deferred { .. } => "deferred".into(),
+        Outcome::Abandoned => "abandoned".into(),
+        // The protocols word it differently; that it was wrong and never ran is the same.
+        Outcome::Rejected(_) => "rejected".into(),
+    }
+}
+
+fn play(client: &Client, nodes: &[Node], steps: &[Step]) -> Vec<String> {
+    let mut lines = Vec::new();
+    for step in steps {
+        match step {
+            Write(block, blocks, byte) => {
+                let data: Vec<u8> = (0..blocks * 512).map(|i| byte.wrapping_add((i / 512) as u8)).collect();
+                lines.push(format!("write {block}+{blocks}: {}", line(&client.write(block * 512, data))));
+            }
+            Read(block, blocks) => {
+                lines.push(format!(
+                    "read {block}+{blocks}: {}",
+                    line(&client.read(block * 512, blocks * 512))
+                ));
+            }
+            Flush => lines.push(format!("flush: {}", line(&client.flush()))),
+            Within(expiry, block, blocks) => {
+                let started = Instant::now();
+                let op = Op::Read { offset: block * 512, length: blocks * 512 };
+                let outcome = client.submit(op, Some(*expiry)).wait();
+                let late = started.elapsed() > *expiry + Duration::from_millis(150);
+                lines.push(format!("within {expiry:?}: {} late {late}", line(&outcome)));
+            }
+            Cancelled(block, blocks) => {
+                client.submit(Op::Read { offset: block * 512, length: blocks * 512 }, None).cancel();
+                lines.push("cancelled".into());
+            }
+            Many(n) => {
+                let read =
+                    |i: u32| client.submit(Op::Read { offset: u64::from(i % 64) * 4096, length: 4096 }, None);
+                let all: Vec<_> = (0..*n).map(read).collect();
+                let done =
+                    all.into_iter().map(|p| p.wait()).filter(|o| matches!(o, Outcome::Done(_))).count();
+                lines.push(format!("many: {done} of {n} done"));
+            }
+            Fault(node, fault) => nodes[*node].set(fault),
+            Wait(time) => std::thread::sleep(*time),
+        }
+    }
+    lines
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Case, volume, steps, and what must be among the lines.
+fn cases() -> Vec<(&'static str, &'static str, Vec<Step>, Vec<&'static str>)> {
+    use tackmast_standins::node::Fault as F;
+    vec![
+        (
+            "written and read",
+            "museum",
+            vec![Write(0, 1, 1), Write(60, 200, 9), Flush, Read(0, 1), Read(60, 200), Read(0, 300)],
+            vec!["read 60+200: done"],
+        ),
+        ("never written", "museum", vec![Read(9000, 2)], vec!["read 9000+2: done 1024 bytes 0"]),
+        (
+            "wrong places",
+            "museum",
+            vec![Read(16_384, 1), Read(16_383, 2), Write(16_384, 1, 0), Read(0, 4096), Read(16_383, 1)],
+            vec!["read 16383+2: rejected", "read 16383+1: done"],
+        ),
+        (
+            "one fault of many, a read again",
+            "museum",
+            vec![Write(100, 4, 3), Fault(1, F::Errors(1.0)), Read(100, 4), Fault(1, F::Well), Read(100, 4)],
+            vec!["read 100+4: done"],
+        ),
+        (
+            "an unrepeatable write fails",
+            "listening",
+            vec![Fault(0, F::Errors(1.0)), Write(0, 1, 5), Fault(0, F::Well), Write(1, 1, 6), Read(1, 1)],
+            vec!["write 0+1: abandoned", "write 1+1: done"],
+        ),
+        (
+            "an unrepeatable write is silent",
+            "listening",
+            vec![Fault(0, F::Silent(true)), Write(0, 1, 5), Fault(0, F::Silent(false)), Wait(ms(300))],
+            vec!["write 0+1: abandoned"],
+        ),
+        (
+            "an unrepeatable write finds nobody",
+            "listening",
+            vec![
+                Fault(0, F::Restart(1.5)),
+                Wait(ms(50)),
+                Write(2, 1, 5),
+                Wait(ms(1600)),
+                Write(2, 1, 7),
+                Read(2, 1),
+            ],
+            vec!["write 2+1: deferred", "write 2+1: done"],
+        ),
+        (
+            "answers reset half-way",
+            "museum",
+            vec![
+                Write(200, 4, 3),
+                Fault(1, F::ResetAnswers(1.0)),
+                Read(200, 4),
+                Fault(1, F::Well),
+                Read(200, 4),
+            ],
+            vec!["read 200+4: done"],
+        ),
+        (
+            "bytes one at a time",
+            "museum",
+            vec![Fault(0, F::Drip(true)), Write(300, 1, 2), Read(300, 1), Fault(0, F::Well)],
+            vec!["read 300+1: done"],
+        ),
+        (
+            "answered by its expiry",
+            "museum",
+            vec![
+                Fault(0, F::Silent(true)),
+                Within(ms(200), 0, 1),
+                Within(ms(400), 1, 1),
+                Fault(0, F::Silent(false)),
+                Wait(ms(500)),
+                Read(0, 1),
+            ],
+            vec!["late false"],
+        ),
+        (
+            "taken back",
+            "museum",
+            vec![Fault(0, F::Pause(0.1)), Cancelled(0, 1), Cancelled(1, 1), Read(0, 1)],
+            vec!["cancelled"],
+        ),
+        ("more than the window", "museum", vec![Many(200)], vec!["many: 200 of 200 done"]),
+    ]
+}
+
+#[test]
+fn both_transports_give_the_same_answers() {
+    let pool = Pool::start();
+    let all = |protocol: Protocol| -> Vec<String> {
+        let mut lines = Vec::new();
+        for (name, volume, steps, must) in cases() {
+            let client = Client::open(pool.options(protocol, volume), PATIENCE).unwrap();
+            let found = play(&client, &pool.nodes, &steps);
+            for m in must {
+                assert!(
+                    found.iter().any(|l| l.contains(m)),
+                    "{protocol:?} {name}: {m:?} is not in {found:#?}"
+                );
+            }
+            lines.extend(found.into_iter().map(|l| format!("{name}: {l}")));
+            client.close();
+        }
+        lines
+    };
+    let (iscsi, nbd) = (all(Protocol::Iscsi), all(Protocol::Nbd));
+    for (a, b) in iscsi.iter().zip(&nbd) {
+        assert_eq!(a, b);
+    }
+    assert_eq!(iscsi.len(), nbd.len());
+    // A transport that bends one answer must not pass.
+    let skewed: Vec<String> = nbd.iter().map(|l| l.replace("abandoned", "deferred")).collect();
+    assert_ne!(iscsi, skewed, "the suite sees the difference");
+    pool.end();
+}
+
+#[test]
+fn older_libraries_and_newer_ones_work_and_promise_no_more_than_they_know() {
+    let pool = Pool::start();
+    for protocol in [Protocol::Iscsi, Protocol::Nbd] {
+        for speaks in [Speaks::Newest, Speaks::Version(2), Speaks::Version(0), Speaks::Public] {
+            let name = format!("{protocol:?} {speaks:?}");
+            let options = Options { speaks, ..pool.options(protocol, "listening") };
+            let client = Client::open(options, PATIENCE).unwrap();
+            let data = vec![7; 2048];
+            assert_eq!(client.write(4096, data.clone()), Outcome::Done(vec![].into()), "{name}");
+            assert_eq!(client.read(4096, 2048), Outcome::Done(data.into()), "{name}");
+            // Nobody serves the first shard: a write there is deferred, and surely did not run.
+            pool.nodes[0].set(&Fault::Restart(1.3));
+            std::thread::sleep(ms(50));
+            let found = client.write(0, vec![1; 512]);
+            // Without expiries of commands a try may be out when the call's time is up.
+            let told = match protocol {
+                Protocol::Iscsi => speaks != Speaks::Public,
+                Protocol::Nbd => matches!(speaks, Speaks::Newest | Speaks::Version(2)),
+            };
+            match (&found, told) {
+                (Outcome::Deferred { .. }, true) | (Outcome::Abandoned, false) => {}
+                _ => panic!("{name}: {found:?}; a deferral is told only where it can be"),
+            }
+            std::thread::sleep(ms(1500));
+            client.close();
+        }
+    }
+    pool.end();
+}
+
+#[test]
+fn what_can_not_be_opened_says_why() {
+    let pool = Pool::start();
+    for protocol in [Protocol::Iscsi, Protocol::Nbd] {
+        let mut options = pool.options(protocol, "museum");
+        (options.place.name, options.place.lun) = ("attic".into(), 77);
+        let Err(OpenError::Refused { why, .. }) = Client::open(options, PATIENCE).map(|_| ()) else {
+            panic!("{protocol:?}: opened")
+        };
+        assert!(why.contains("no such volume"), "{protocol:?}: {why}");
+        let mut options = pool.options(protocol, "museum");
+        options.address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let found = Client::open(options, ms(300)).map(|_| ());
+        assert!(matches!(found, Err(OpenError::NoAnswer { .. })), "{protocol:?}: {found:?}");
+    }
+    pool.end();
+}
--- /dev/null
+++ b/crates/clientcore/src/retry.rs
@@ -0,0 +1,181 @@
+//! When a call is tried again. Only where the answer says that it is safe, or the call is a read; within a budget, so
+//! that retries never become a load of their own; and never past the call's expiry.
+
+use tackmast::interface::{Instant, Span};
+
+/// How one try ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It never left: there was no session, or the window was shut.
+    NotSent,
+    Deferred {
+        come_back: Option<Span>,
+    },
+    Abandoned,
+    /// Its session ended while it was out.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Try again at this time.
+    Again(Instant),
+    /// Tell the caller: deferred, with how long to stay away.
+    Deferred(Option<Span>),
+    Abandoned,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// Retries allowed at once, and for each first try.
+    pub free: f64,
+    pub share: f64,
+    /// Least time between two tries, and the longest between two connects.
+    pub least_wait: Span,
+    pub longest_connect: Span,
+    pub most_tries: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            free: 10.0,
+            share: 0.2,
+            least_wait: Span::from_secs(0.01),
+            longest_connect: Span::from_secs(2.0),
+            most_tries: 8,
+        }
+    }
+}
+
+/// What is left of the budget. First tries earn, retries spend.
+#[derive(Debug)]
+pub struct Budget {
+    policy: Policy,
+    left: f64,
+    chance: oorandom::Rand32,
+}
+
+impl Budget {
+    pub fn new(policy: Policy, seed: u64) -> Self {
+        Budget { policy, left: policy.free, chance: oorandom::Rand32::new(seed) }
+    }
+
+    pub fn first_try(&mut self) {
+        self.left = (self.left + self.policy.share).min(self.policy.free);
+    }
+
+    /// Between half and all of it: calls that met one trouble must not come back at one moment.
+    fn jittered(&mut self, wait: Span) -> Span {
+        Span::from_secs(wait.secs() * (1.0 + 0.5 * f64::from(self.chance.rand_float())))
+    }
+
+    /// Judges the end of a try, which took so long, of a call that must be answered by `deadline`.
+    pub fn next(
+        &mut self,
+        now: Instant,
+        end: End,
+        write: bool,
+        tries: u32,
+        took: Span,
+        deadline: Instant,
+    ) -> Next {
+        let advice = match end {
+            End::Deferred { come_back } => come_back,
+            _ => None,
+        };
+        // What is said where no further try is made. A write that may have run is never called deferred.
+        let answer = match end {
+            End::Abandoned | End::Lost if write => return Next::Abandoned,
+            End::Abandoned | End::Lost => Next::Abandoned,
+            End::NotSent | End::Deferred { .. } => Next::Deferred(advice),
+        };
+        let wait = self.jittered(advice.unwrap_or(self.policy.least_wait).max(self.policy.least_wait));
+        let at = now + wait;
+        // One that never left has cost nothing: it needs no budget, only time.
+        let costs = if end == End::NotSent { 0.0 } else { 1.0 };
+        // A try that can't be expected to end in time would be out at the expiry, and turn what is known not to have
+        // run into what nobody knows.
+        if at + took >= deadline || tries >= self.policy.most_tries || self.left < costs {
+            return answer;
+        }
+        self.left -= costs;
+        Next::Again(at)
+    }
+
+    /// How long to wait before the next connect, after so many failures in a row.
+    pub fn connect_wait(&mut self, failures: u32) -> Span {
+        let wait = 0.05 * 2f64.powi(failures.min(16) as i32);
+        let wait = Span::from_secs(wait.min(self.policy.longest_connect.secs()) / 1.5);
+        self.jittered(wait)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tries_follow_only_where_that_is_safe_and_in_time() {
+        let s = Span::from_secs;
+        let deferred = |w: Option<f64>| End::Deferred { come_back: w.map(s) };
+        let told = |w: Option<f64>| Some(Next::Deferred(w.map(s)));
+        let abandoned = Some(Next::Abandoned);
+        // End, write, tries, budget left, seconds left; the answer, or none for a further try.
+        type Case<'a> = (&'a str, End, bool, u32, f64, f64, Option<Next>);
+        let cases: &[Case] = &[
+            ("a deferred write", deferred(Some(0.1)), true, 1, 5.0, 1.0, None),
+            ("a deferred read", deferred(None), false, 1, 5.0, 1.0, None),
+            ("no time for it", deferred(Some(2.0)), true, 1, 5.0, 1.0, told(Some(2.0))),
+            ("no time for as long as the last", deferred(None), true, 1, 5.0, 0.2, told(None)),
+            ("no budget for it", deferred(Some(0.1)), true, 1, 0.5, 1.0, told(Some(0.1))),
+            ("tries enough", deferred(None), true, 8, 5.0, 1.0, told(None)),
+            ("an abandoned write", End::Abandoned, true, 1, 5.0, 1.0, abandoned),
+            ("an abandoned read", End::Abandoned, false, 1, 5.0, 1.0, None),
+            ("an abandoned read, no budget", End::Abandoned, false, 1, 0.0, 1.0, abandoned),
+            ("a lost write", End::Lost, true, 1, 5.0, 1.0, abandoned),
+            ("a lost read", End::Lost, false, 1, 5.0, 1.0, None),
+            ("a write that never left, no budget", End::NotSent, true, 1, 0.0, 1.0, None),
+            ("a write that never left, no time", End::NotSent, true, 1, 5.0, 0.001, told(None)),
+        ];
+        for (name, end, write, tries, left, time, expected) in cases {
+            let mut b = Budget::new(Policy::default(), 1);
+            b.left = *left;
+            let now = Instant::from_secs(10.0);
+            let found = b.next(now, *end, *write, *tries, s(0.2), now + s(*time));
+            match expected {
+                Some(e) => assert_eq!(found, *e, "{name}"),
+                None => assert!(matches!(found, Next::Again(t) if t > now), "{name}: {found:?}"),
+            }
+        }
+    }
+
+    #[test]
+    fn retries_stay_a_part_of_first_tries() {
+        let mut b = Budget::new(Policy::default(), 1);
+        let now = Instant::from_secs(0.0);
+        let mut again = 0;
+        for _ in 0..1000 {
+            b.first_try();
+            let next = b.next(
+                now,
+                End::Deferred { come_back: None },
+                false,
+                1,
+                Span::ZERO,
+                now + Span::from_secs(1.0),
+            );
+            again += u32::from(matches!(next, Next::Again(_)));
+        }
+        assert!((200..=211).contains(&again), "{again}");
+    }
+
+    #[test]
+    fn connects_wait_longer_each_time_and_not_together() {
+        let mut b = Budget::new(Policy::default(), 1);
+        let waits: Vec<f64> = (0..10).map(|n| b.connect_wait(n).secs()).collect();
+        assert!(waits[0] < 0.06 && waits[9] > 1.2 && waits.iter().all(|w| *w <= 2.0), "{waits:?}");
+        let mut other = Budget::new(Policy::default(), 2);
+        assert_ne!(other.connect_wait(5), Budget::new(Policy::default(), 3).connect_wait(5));
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -136,8 +136,10 @@
         };
         Some((ticks / 100.0, field("VmRSS:")? / 1024.0, field("Threads:")? as u32))
     }
+}
 
-    pub fn end(mut self) {
+impl Drop for Bench {
+    fn drop(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
         self.list.stop();
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -110,6 +110,9 @@
                 send(label, &mut sent, chance()).ok_or("the session ended")?;
                 open += 1;
             }
+            if open == 0 {
+                break;
+            }
             let Ok((label, reply)) = replies.recv_timeout(Duration::from_secs(10)) else {
                 return Err("no answer in 10 s".into());
             };
@@ -177,6 +180,9 @@
                 .encode(&mut bytes);
                 open += 1;
             }
+            if open == 0 {
+                break;
+            }
             stream.write_all(&bytes).map_err(fail)?;
             let n = stream.read(&mut buffer).map_err(fail)?;
             if n == 0 {
--- a/crates/target/src/negotiate.rs
+++ b/crates/target/src/negotiate.rs
@@ -7,6 +7,9 @@
 /// Vendor key: whether a deferral tells its time to come back in microseconds, in the response data.
 pub const DELAY_KEY: &str = "X-org.tackmast.ExactDelay";
 
+/// Vendor key: whether commands may tell an expiry of their own, in a further header.
+pub const COMMAND_KEY: &str = "X-org.tackmast.CommandExpiry";
+
 /// What the target takes, from the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Offer {
@@ -34,6 +37,7 @@
     pub most_burst: u32,
     pub expiry_ms: Option<u32>,
     pub exact_delay: bool,
+    pub command_expiry: bool,
     /// Protocol level of RFC 7144; from 2 on responses carry status qualifiers.
     pub level: u32,
     pub initiator: Option<String>,
@@ -52,6 +56,7 @@
             most_burst: offer.most_burst.min(262_144),
             expiry_ms: None,
             exact_delay: false,
+            command_expiry: false,
             level: 1,
             initiator: None,
             target: None,
@@ -133,9 +138,13 @@
                 }
                 None => reject(),
             },
-            DELAY_KEY => match value {
+            DELAY_KEY | COMMAND_KEY => match value {
                 "Yes" | "No" => {
-                    self.exact_delay = value == "Yes";
+                    let on = value == "Yes";
+                    match key {
+                        DELAY_KEY => self.exact_delay = on,
+                        _ => self.command_expiry = on,
+                    }
                     Some(value.to_owned())
                 }
                 _ => reject(),
--- a/crates/target/src/session.rs
+++ b/crates/target/src/session.rs
@@ -89,6 +89,7 @@
     tag: u32,
     lun: u32,
     expected: u32,
+    expiry_ms: Option<u32>,
     upload: Option<Upload>,
 }
 
@@ -399,7 +400,12 @@
         let expected = pdu.u32(20);
         let lun = pdu.lun();
         let unit = lun.and_then(|l| self.units.iter().find(|u| u.lun == l)).cloned();
-        let task = Task { tag, lun: lun.unwrap_or(0), expected, upload: None };
+        // A command's own expiry, within what the target takes; else the session's.
+        let (least, most) = self.offer.expiry_ms;
+        let own = pdu.expiry().filter(|_| self.agreed.command_expiry);
+        let own = own.map(|us| ((us / 1000).min(u64::from(u32::MAX)) as u32).clamp(least, most.max(least)));
+        let expiry_ms = own.or(self.agreed.expiry_ms);
+        let task = Task { tag, lun: lun.unwrap_or(0), expected, expiry_ms, upload: None };
         let parsed = Command::parse(&pdu.cdb());
         let simple = match (parsed, &unit) {
             (Err(sense), _) => Err(sense),
@@ -457,7 +463,7 @@
             self.respond(&task, status::GOOD, 0, Bytes::new());
             return Ok(());
         }
-        let (expiry_ms, lun) = (self.agreed.expiry_ms, task.lun);
+        let (expiry_ms, lun) = (task.expiry_ms, task.lun);
         let Some(first) = upload else {
             self.tasks.insert(command, task);
             self.events.push_back(Event::Submit {
@@ -539,7 +545,7 @@
         }
         let (block, data, lun) = (up.block, up.data.split().freeze(), task.lun);
         task.upload = None;
-        let (work, expiry_ms) = (Work::Write { data }, self.agreed.expiry_ms);
+        let (work, expiry_ms) = (Work::Write { data }, task.expiry_ms);
         self.events.push_back(Event::Submit { command, lun, block, work, expiry_ms });
         Ok(())
     }
--- a/crates/wire/src/iscsi.rs
+++ b/crates/wire/src/iscsi.rs
@@ -33,14 +33,19 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pdu {
     pub head: [u8; BHS],
+    /// Further headers as they are, in whole words (section 11.2.2).
+    pub further: Bytes,
     pub data: Bytes,
 }
 
+/// Type of the further header in which a client that has agreed on it tells a command's expiry.
+const EXPIRY_HEADER: u8 = 0x3f;
+
 impl Pdu {
     pub fn new(opcode: u8, flags: u8) -> Self {
         let mut head = [0; BHS];
         (head[0], head[1]) = (opcode, flags);
-        Pdu { head, data: Bytes::new() }
+        Pdu { head, further: Bytes::new(), data: Bytes::new() }
     }
     pub fn opcode(&self) -> u8 {
         self.head[0] & 0x3f
@@ -83,6 +88,31 @@
         let two = lun as u16 & 0x3fff;
         self.set16(8, if two < 256 { two } else { 0x4000 | two })
     }
+    /// Microseconds in which the command's client wants its answer, in a further header of our own: its length, 9, its
+    /// type, a reserved byte, and the number.
+    pub fn set_expiry(&mut self, us: u64) -> &mut Self {
+        let mut out = BytesMut::with_capacity(12);
+        out.put_u16(9);
+        out.put_u8(EXPIRY_HEADER);
+        out.put_u8(0);
+        out.put_u64(us);
+        self.further = out.freeze();
+        self
+    }
+    pub fn expiry(&self) -> Option<u64> {
+        let mut rest = self.further.clone();
+        while rest.len() >= 4 {
+            let (length, kind) = (usize::from(rest.get_u16()), rest.get_u8());
+            if kind == EXPIRY_HEADER && length == 9 && rest.len() >= 9 {
+                rest.advance(1);
+                return Some(rest.get_u64());
+            }
+            // Each header is padded to whole words, its length and type with it.
+            let whole = (length + 3).next_multiple_of(4) - 3;
+            rest.advance(whole.min(rest.len()));
+        }
+        None
+    }
     pub fn cdb(&self) -> [u8; 16] {
         let mut cdb = [0; 16];
         cdb.copy_from_slice(&self.head[32..]);
@@ -100,11 +130,14 @@
 /// Appends the unit with its lengths, padding and digests.
 pub fn encode(pdu: &Pdu, digests: Digests, out: &mut BytesMut) {
     let mut head = pdu.head;
-    head[4] = 0;
+    head[4] = (pdu.further.len() / 4) as u8;
     head[5..8].copy_from_slice(&(pdu.data.len() as u32).to_be_bytes()[1..]);
+    let start = out.len();
     out.put_slice(&head);
+    out.put_slice(&pdu.further);
     if digests.header {
-        out.put_u32_le(crc32c::crc32c(&head));
+        let sum = crc32c::crc32c(&out[start..]);
+        out.put_u32_le(sum);
     }
     if !pdu.data.is_empty() {
         let start = out.len();
@@ -121,7 +154,7 @@
     n.wrapping_neg() & 3
 }
 
-/// Cuts a byte stream into units. `most_data` bounds the data of one; further headers are passed over.
+/// Cuts a byte stream into units. `most_data` bounds the data of one; further headers are bounded by their length's byte.
 pub struct Units {
     held: BytesMut,
     most_data: usize,
@@ -166,7 +199,8 @@
             same_digest("data digest", self.held.get_u32_le(), &body)?;
         }
         body.truncate(data);
-        Ok(Some(Pdu { head, data: body.freeze() }))
+        let further = heads.freeze().slice(BHS..);
+        Ok(Some(Pdu { head, further, data: body.freeze() }))
     }
 }
 
--- a/crates/wire/tests/codecs.rs
+++ b/crates/wire/tests/codecs.rs
@@ -5,6 +5,7 @@
 use proptest::test_runner::RngSeed;
 use tackmast_wire::iscsi::{self, Digests, Pdu, Units};
 use tackmast_wire::list::{self, Entry, State};
+use tackmast_wire::nbd;
 use tackmast_wire::node::{self, Answer, Frame, NodeOutcome, Origin, SendLeg, Work};
 use tackmast_wire::scsi::{Command, Sense};
 
@@ -96,11 +97,14 @@
 }
 
 fn pdu() -> impl Strategy<Value = Pdu> {
-    (any::<[u8; 48]>(), data()).prop_map(|(mut head, data)| {
-        head[4] = 0;
-        head[5..8].copy_from_slice(&(data.len() as u32).to_be_bytes()[1..]);
-        Pdu { head, data }
-    })
+    (any::<[u8; 48]>(), data(), proptest::collection::vec(any::<[u8; 4]>(), 0..20)).prop_map(
+        |(mut head, data, further)| {
+            head[4] = further.len() as u8;
+            let further = Bytes::from(further.concat());
+            head[5..8].copy_from_slice(&(data.len() as u32).to_be_bytes()[1..]);
+            Pdu { head, further, data }
+        },
+    )
 }
 
 /// Feeds the bytes in pieces of these sizes, in turn.
@@ -196,12 +200,83 @@
         units.push(&bytes);
         while let Ok(Some(u)) = units.next_unit() {
             prop_assert!(u.data.len() <= MOST);
+            _ = u.expiry();
         }
         if let Some(cdb) = bytes.first_chunk::<16>() {
             _ = Command::parse(cdb);
         }
     }
 
+    #[test]
+    fn expiries_stand_among_other_headers(us in any::<u64>(), other in proptest::collection::vec(any::<u8>(), 0..30)) {
+        let mut pdu = Pdu::new(1, 0);
+        pdu.set_expiry(us);
+        prop_assert_eq!(pdu.expiry(), Some(us));
+        // Behind a header of another type, padded as the specification says.
+        let mut further = vec![0, other.len() as u8 + 1, 1, 0];
+        further.extend_from_slice(&other);
+        further.resize(further.len().next_multiple_of(4), 0);
+        further.extend_from_slice(&pdu.further);
+        pdu.further = Bytes::from(further);
+        prop_assert_eq!(pdu.expiry(), Some(us));
+    }
+
+    #[test]
+    fn nbd_units_come_back(flags in any::<u16>(), cookie in any::<u64>(), offset in any::<u64>(), expiry in any::<Option<u64>>(), data in data(), cuts in proptest::collection::vec(1usize..300, 1..8)) {
+        let request = nbd::Request { flags: flags & !nbd::flag::EXPIRY, kind: nbd::command::WRITE, cookie, offset, length: data.len() as u32, expiry_us: expiry };
+        let mut bytes = BytesMut::new();
+        nbd::option(nbd::option::GO, &nbd::write_go("v", &[3]), &mut bytes);
+        let options = bytes.len();
+        request.encode(&mut bytes);
+        bytes.extend_from_slice(&data);
+        let mut units = nbd::ClientUnits::new(MOST as u32);
+        units.stage = nbd::Stage::Options;
+        let mut found = Vec::new();
+        let (first, second) = bytes.split_at(options);
+        for part in [first, second] {
+            in_pieces(part, &cuts, |piece| {
+                units.push(piece);
+                while let Some(u) = units.next_unit().unwrap() {
+                    found.push(u);
+                }
+            });
+            units.stage = nbd::Stage::Transmission;
+        }
+        prop_assert_eq!(&found[1], &nbd::ClientUnit::Request { request, data: data.clone() });
+        for reply in [
+            nbd::Reply::Simple { cookie, error: 0, data: data.clone() },
+            nbd::Reply::Chunk { cookie, flags, kind: nbd::chunk::OFFSET_DATA, data: data.clone() },
+        ] {
+            let mut bytes = BytesMut::new();
+            reply.encode(&mut bytes);
+            let mut units = nbd::ServerUnits::new(MOST as u32);
+            units.stage = nbd::Stage::Transmission;
+            let mut found = None;
+            in_pieces(&bytes, &cuts, |piece| {
+                units.push(piece);
+                found = units.next_unit(|_| data.len()).unwrap();
+            });
+            prop_assert_eq!(found, Some(nbd::ServerUnit::Reply(reply)));
+        }
+    }
+
+    #[test]
+    fn no_bytes_break_the_nbd_units(bytes in proptest::collection::vec(any::<u8>(), 0..500)) {
+        for stage in [nbd::Stage::Flags, nbd::Stage::Options, nbd::Stage::Transmission] {
+            let mut client = nbd::ClientUnits::new(MOST as u32);
+            let mut server = nbd::ServerUnits::new(MOST as u32);
+            (client.stage, server.stage) = (stage, stage);
+            client.push(&bytes);
+            server.push(&bytes);
+            while let Ok(Some(_)) = client.next_unit() {}
+            while let Ok(Some(_)) = server.next_unit(|_| 0) {}
+        }
+        let all = Bytes::from(bytes);
+        _ = nbd::read_go(&all);
+        _ = nbd::read_error(&all);
+        _ = nbd::read_version(&all);
+    }
+
     #[test]
     fn commands_come_back(block in any::<u64>(), blocks in any::<u32>(), most in any::<u16>(), page in any::<Option<u8>>()) {
         let most = u32::from(most);
