A service that drains, fair admission, tackmast io, and random histories over both libraries

Cause: a host ended without a word, and one client could fill its tables. Change: SIGTERM drains: no new sessions, nothing new taken, each open transfer its one answer by bounds.drain_ms, then exit 0; a second signal ends at once. What a session or a volume may hold follows what is free (dynamic thresholds), so a greedy one always leaves room. tackmast io reads, writes, copies, verifies and loads a volume over either protocol.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `tackmast` command: it reads arguments, settings and signals, and hands on.
 
 mod day;
+mod io;
 mod log;
 mod measure;
 mod orders;
@@ -48,6 +49,9 @@
         #[arg(long, default_value = "127.0.0.1:0")]
         listen: std::net::SocketAddr,
     },
+    /// Reads, writes, copies, verifies and loads a volume over the client library, by either protocol.
+    #[command(subcommand)]
+    Io(io::IoCommand),
     /// Orders of operators that end by themselves: a weight, out of service, pinned in service.
     #[command(subcommand)]
     Override(orders::OverrideCommand),
@@ -98,6 +102,7 @@
         Command::Serve { config } => serve::serve(&config),
         Command::Node(a) => stand::node(&a),
         Command::NodeList { listen } => stand::node_list(listen),
+        Command::Io(c) => io::run(c),
         Command::Override(c) => orders::run(c),
         Command::Status { hosts } => orders::status(&hosts),
         Command::Day(a) => day::day(&a),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -5,12 +5,14 @@
 use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 use tackmast_config::HostSettings;
 use tackmast_host::Host;
 
 pub fn serve(config: &Path) -> Result<ExitCode, String> {
     let settings = HostSettings::read(config).map_err(|e| e.to_string())?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let patience = Duration::from_millis(settings.bounds.drain_ms);
     let host = Host::start(settings).map_err(|e| e.to_string())?;
     // Whoever started this reads the address here, as port 0 takes any that is free.
     println!("listening {}", host.address);
@@ -19,6 +21,13 @@
     }
     _ = std::io::stdout().flush();
     let signal = signals.forever().next();
+    // A second signal ends the host at once, whatever is open.
+    std::thread::spawn(move || {
+        signals.forever().next();
+        tracing::warn!("second signal: the host ends at once");
+        std::process::exit(1);
+    });
+    tracing::info!(signal, "host drains");
     if let Some(s) = host.status() {
         let c = s.counters;
         tracing::info!(
@@ -33,7 +42,8 @@
             "host ends"
         );
     }
-    host.stop();
+    let all = host.drain(patience);
+    tracing::info!(all, "host has ended");
     Ok(ExitCode::SUCCESS)
 }
 
--- /dev/null
+++ b/crates/client/tests/common/mod.rs
@@ -0,0 +1,142 @@
+//! A host between stand-in nodes, for tests of the libraries.
+#![allow(dead_code)] // each test file uses its own part
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tackmast_client::{Options, Protocol};
+use tackmast_config::HostSettings;
+use tackmast_host::Host;
+use tackmast_standins::list::NodeList;
+use tackmast_standins::model::Nature;
+use tackmast_standins::node::{Marks, Node, NodeSettings};
+use tackmast_trace::Recorder;
+use tackmast_wire::list::{Entry, State};
+
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+pub struct Pool {
+    pub nodes: Vec<Node>,
+    pub list: NodeList,
+    pub host: Host,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Pool {
+    pub fn start() -> Pool {
+        let marks = Arc::new(Marks::default());
+        let node = |shard| {
+            Node::start(NodeSettings {
+                address: loopback(),
+                shard,
+                zone: 0,
+                nature: Nature { unit_s: 0.0005, cores: 2, ..Nature::default() },
+                seed: 1,
+                most_data: 1 << 20,
+                report_every: Duration::from_millis(50),
+                marks: marks.clone(),
+                window_s: 5.0,
+                cold: false,
+                store: Arc::default(),
+                receive_bytes: 0,
+                recorder: Recorder::off(),
+            })
+            .unwrap()
+        };
+        let nodes: Vec<Node> = (0..2).map(node).collect();
+        let list = NodeList::start(loopback(), Recorder::off()).unwrap();
+        list.put(nodes.iter().map(|n| Entry {
+            address: n.address().to_string(),
+            state: State::Ready,
+            zone: 0,
+            shard: n.shard(),
+            started_us: 0,
+        }));
+        let text = format!(
+            r#"
+            host {{
+              number = 0
+              hosts = 1
+              listen = "127.0.0.1:0"
+              listen_nbd = "127.0.0.1:0"
+              node_list = "{}"
+              seed = 7
+            }}
+            bounds {{
+              window = 16
+            }}
+            units {{
+              bytes = 4096
+              most = 8
+              mean = 2
+            }}
+            plan "basic" {{}}
+            stream "read" {{
+              slo_ms = 300
+              expiry_ms = 1000
+              effect = "repeatable"
+            }}
+            stream "write" {{
+              slo_ms = 300
+              expiry_ms = 1000
+              effect = "repeatable"
+            }}
+            stream "log" {{
+              slo_ms = 300
+              expiry_ms = 1000
+              effect = "unrepeatable"
+            }}
+            volume "museum" {{
+              lun = 0
+              plan = "basic"
+              blocks = 16384
+              extent_blocks = 64
+              shards = [0, 1]
+              hosts = 1
+              reads = "read"
+              writes = "write"
+            }}
+            volume "listening" {{
+              lun = 1
+              plan = "basic"
+              blocks = 16384
+              extent_blocks = 64
+              shards = [0, 1]
+              hosts = 1
+              reads = "read"
+              writes = "log"
+            }}
+            "#,
+            list.address
+        );
+        let host = Host::start(HostSettings::parse("test", &text).unwrap()).unwrap();
+        let until = Instant::now() + PATIENCE;
+        while host.status().is_none_or(|s| s.nodes.len() < 2) {
+            assert!(Instant::now() < until, "no node list");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Pool { nodes, list, host }
+    }
+
+    pub fn options(&self, protocol: Protocol, volume: &str) -> Options {
+        let address = match protocol {
+            Protocol::Iscsi => self.host.address,
+            Protocol::Nbd => self.host.nbd.unwrap(),
+        };
+        let lun = u32::from(volume == "listening");
+        Options {
+            expiry: Duration::from_millis(900),
+            seed: 5,
+            ..Options::new(protocol, address, volume, lun)
+        }
+    }
+
+    pub fn end(self) {
+        self.host.stop();
+        self.list.stop();
+        self.nodes.iter().for_each(Node::stop);
+    }
+}
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -73,6 +73,8 @@
     pub link_silence_ms: u64,
     /// Time a client may take to log in.
     pub login_ms: u64,
+    /// Time that open transfers have when the host is asked to end.
+    pub drain_ms: u64,
 }
 
 impl Default for Bounds {
@@ -95,6 +97,7 @@
             client_stall_ms: 10_000,
             link_silence_ms: 5_000,
             login_ms: 5_000,
+            drain_ms: 5_000,
         }
     }
 }
@@ -372,6 +375,7 @@
             ("client_stall_ms", bounds.client_stall_ms, 10, 3_600_000),
             ("link_silence_ms", bounds.link_silence_ms, 10, 3_600_000),
             ("login_ms", bounds.login_ms, 10, 600_000),
+            ("drain_ms", bounds.drain_ms, 0, 600_000),
         ] {
             whole("bounds", name, value, low, high)?;
         }
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -11,5 +11,6 @@
 
 pub use import::import;
 pub use play::{play, Played};
+pub use registers::Registers;
 pub use report::{Report, Served};
 pub use script::{Action, Script, TrafficBlock, Trouble};
--- a/crates/host/src/core_thread.rs
+++ b/crates/host/src/core_thread.rs
@@ -59,6 +59,9 @@
         ask: Ask,
         to: Sender<Answer>,
     },
+    /// Takes nothing new from here on, or answers what is open now.
+    Drain,
+    Settle,
     /// What became of a write.
     Kept {
         request: u64,
@@ -229,6 +232,8 @@
                 self.asks.insert(self.next_ask, to);
                 self.core.ask(now, self.next_ask, ask);
             }
+            Event::Drain => self.core.drain(),
+            Event::Settle => self.core.settle(now),
             Event::Kept { request, result } => self.core.kept(now, request, result),
             Event::Stop => {
                 for (_, close) in self.sessions.values() {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 use tackmast_config::{HostSettings, OverridesBlock};
 use tackmast_hostcore::{Core, Keep};
 use tackmast_keep::Store;
@@ -25,6 +26,8 @@
 
 /// Stack of the threads that only move bytes.
 const SMALL_STACK: usize = 128 << 10;
+/// Time for sessions to write their last answers.
+const FLUSH: Duration = Duration::from_millis(100);
 /// Events that may wait for the core before those who bring more must wait.
 const EVENTS: usize = 16 << 10;
 
@@ -134,17 +137,41 @@
     pub fn status(&self) -> Option<Status> {
         let (to, from) = crossbeam_channel::bounded(1);
         self.urgent.send(core_thread::Event::Status(to)).ok()?;
-        from.recv_timeout(std::time::Duration::from_secs(5)).ok()
+        from.recv_timeout(Duration::from_secs(5)).ok()
+    }
+
+    /// Ends in order: no new sessions, nothing new taken, and each open transfer gets its one answer, by `patience` at
+    /// the latest. True: all had it before.
+    pub fn drain(self, patience: Duration) -> bool {
+        self.stopping.store(true, Ordering::Release);
+        self.wake_listeners();
+        _ = self.urgent.send(core_thread::Event::Drain);
+        let until = Instant::now() + patience;
+        let open = || self.status().map_or(0, |s| s.commands);
+        while open() > 0 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let all = open() == 0;
+        _ = self.urgent.send(core_thread::Event::Settle);
+        // The answers are with the sessions' threads: they get a moment to write them.
+        _ = self.status();
+        std::thread::sleep(FLUSH);
+        self.stop();
+        all
+    }
+
+    fn wake_listeners(&self) {
+        // A listener waits for a connection: this one wakes it.
+        for address in [Some(self.address), self.nbd].into_iter().flatten() {
+            _ = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(1));
+        }
     }
 
     /// Ends at once: connections are closed, nothing more is answered.
     pub fn stop(mut self) {
         self.stopping.store(true, Ordering::Release);
         _ = self.urgent.send(core_thread::Event::Stop);
-        // The listener waits for a connection: this one wakes it.
-        for address in [Some(self.address), self.nbd].into_iter().flatten() {
-            _ = std::net::TcpStream::connect_timeout(&address, std::time::Duration::from_secs(1));
-        }
+        self.wake_listeners();
         for t in self.threads.drain(..) {
             _ = t.join();
         }
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -1,6 +1,6 @@
 //! The state machine: inputs, the tables, and the outputs.
 
-use crate::admission::Admission;
+use crate::admission::{Admission, Held};
 use crate::combine::{combine, Combined, PartEnd};
 use crate::layout::{key_id, Layout, Part};
 use crate::nodes::{ListEntry, Nodes};
@@ -175,6 +175,7 @@
 struct Command {
     parts: Vec<(XferId, Option<PartEnd>, Bytes)>,
     stream: usize,
+    volume: usize,
     marked: bool,
     bytes: usize,
     write: bool,
@@ -186,6 +187,7 @@
     streams: Vec<Stream>,
     tells: bool,
     lead: Span,
+    longest_wait: Span,
     life: u64,
     nodes: Nodes,
     admission: Admission,
@@ -199,6 +201,8 @@
     cuts: BTreeSet<(Instant, NodeId)>, // when what is still being written to a node that drains is cut off
     list_version: u64,
     orders: Option<Orders>,
+    /// The host is ending: since when, and nothing new is taken.
+    draining: bool,
     number: u32,
     wall_offset_us: i64,
     outputs: VecDeque<Output>,
@@ -232,6 +236,7 @@
             streams: s.streams.clone(),
             tells: s.load.tells_others,
             lead: Span::from_secs(s.host.answer_lead_ms / 1e3),
+            longest_wait: longest,
             life,
             nodes: Nodes::new(s.bounds.nodes),
             admission: Admission::new(now, s.bounds.transfers, s.bounds.bytes, longest),
@@ -245,6 +250,7 @@
             cuts: BTreeSet::new(),
             list_version: 0,
             orders: None,
+            draining: false,
             number: s.host.number,
             wall_offset_us: 0,
             outputs: VecDeque::new(),
@@ -302,12 +308,16 @@
         let stream = self.layout.stream(volume, write, blocks);
         let expiry = began + asked.unwrap_or(self.streams[stream].expiry) - self.lead;
         let parts = self.layout.parts(volume, stream, block, blocks);
+        if self.draining {
+            return self.refuse(from, Some(self.longest_wait));
+        }
         if expiry <= now || parts.is_empty() || self.commands.contains_key(&from) {
             return self.refuse(from, None);
         }
         let bytes = blocks as usize * block_bytes;
         // A full table answers at once with when to come back; nothing is dropped in silence.
-        if let Err(wait) = self.admission.enter(now, parts.len(), bytes) {
+        let held = Held { transfers: parts.len(), bytes };
+        if let Err(wait) = self.admission.enter(now, from.session, volume, held) {
             self.counters.over_bound += 1;
             return self.refuse(from, Some(wait));
         }
@@ -317,7 +327,7 @@
         };
         let ids: Vec<XferId> = parts.iter().map(|_| self.new_id()).collect();
         let open = ids.iter().map(|id| (*id, None, Bytes::new())).collect();
-        let command = Command { parts: open, stream, marked: mark.is_some(), bytes, write };
+        let command = Command { parts: open, stream, volume, marked: mark.is_some(), bytes, write };
         self.commands.insert(from, command);
         self.sessions.entry(from.session).or_default().insert(from.command);
         let mut taken = 0;
@@ -372,6 +382,28 @@
         self.outputs.push_back(Output::Answer { to, verdict: Verdict::Deferred { come_back } });
     }
 
+    /// The host will end: what comes from now on is deferred, what is open goes on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// The host ends now: each command still open has its answer at once. Deferred where nothing of it can have run,
+    /// abandoned otherwise.
+    pub fn settle(&mut self, now: Instant) {
+        self.draining = true;
+        let mut open: Vec<CommandRef> = self.commands.keys().copied().collect();
+        open.sort();
+        for from in open {
+            let Some(first) = self.commands.get(&from).and_then(|c| c.parts.iter().find(|p| p.1.is_none()))
+            else {
+                continue;
+            };
+            let (id, come_back) = (first.0, Some(self.longest_wait));
+            // As if the module had deferred it: the parts together tell whether that can be said.
+            self.part_over(now, id, PartEnd::Deferred { ran: true, come_back }, Bytes::new());
+        }
+    }
+
     /// The client has taken the command back, or was told that it is over; no answer is wanted.
     pub fn abort(&mut self, now: Instant, from: CommandRef) {
         if let Some(c) = self.commands.remove(&from) {
@@ -859,7 +891,8 @@
     }
 
     fn forget_command(&mut self, now: Instant, from: CommandRef, c: &Command) {
-        self.admission.leave(now, c.parts.len(), c.bytes);
+        let held = Held { transfers: c.parts.len(), bytes: c.bytes };
+        self.admission.leave(now, from.session, c.volume, held);
         if let Some(open) = self.sessions.get_mut(&from.session) {
             open.remove(&from.command);
             if open.is_empty() {
