--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -1,7 +1,10 @@
 //! `tackmast measure`.
 
 use std::process::ExitCode;
-use tackmast_measure::{core_cost, core_cost_with_orders, timers, Bench, Load, Route};
+use tackmast_client::{Options, Protocol};
+use tackmast_measure::{
+    beside_greedy, core_cost, core_cost_with_orders, through_library, timers, Bench, Load, Route,
+};
 
 #[derive(clap::Args)]
 pub struct MeasureArguments {
@@ -21,6 +24,42 @@
     /// Measures what overrides cost instead.
     #[arg(long)]
     overrides: bool,
+    /// Measures both protocols through the client libraries instead, and a polite client beside a greedy one.
+    #[arg(long)]
+    service: bool,
+}
+
+fn service(bench: &Bench, seconds: f64) -> Result<(), String> {
+    let options = |protocol, address| Options::new(protocol, address, "v", 0);
+    let (iscsi, nbd) = (options(Protocol::Iscsi, bench.host), options(Protocol::Nbd, bench.nbd));
+    println!("{:<28} {:>10} {:>8} {:>8} {:>9}", "load and route", "done/s", "p50 us", "p99 us", "not done");
+    let row = |name: String, s: &tackmast_measure::Shown| {
+        println!("{name:<28} {:>10.0} {:>8} {:>8} {:>9}", s.per_s, s.p50_us, s.p99_us, s.other);
+    };
+    for sessions in [1, 64, 2000] {
+        let straight = Route::Nodes(bench.nodes.iter().map(|n| n.address()).collect());
+        let load = Load { sessions: sessions.min(64), depth: 1, blocks: 8, seconds, think_us: 0 };
+        let direct = load.run(&straight)?;
+        row(format!("{} straight", load.sessions), &direct);
+        for (name, o) in [("iSCSI", &iscsi), ("NBD", &nbd)] {
+            let s = through_library(o, sessions, seconds)?;
+            row(format!("{sessions} sessions, {name}"), &s);
+            println!("    ratio to straight {:.2}", s.per_s / direct.per_s);
+        }
+        if let Some((_, memory, threads)) = bench.host_use() {
+            println!("    host: {memory:.0} MiB, {threads} threads");
+        }
+    }
+    for (name, o) in [("iSCSI", &iscsi), ("NBD", &nbd)] {
+        let alone = beside_greedy(o, 0, seconds)?;
+        let beside = beside_greedy(o, 2000, seconds)?;
+        row(format!("polite alone, {name}"), &alone);
+        row(format!("beside 2000 open, {name}"), &beside);
+        let (p50, p99) =
+            (beside.p50_us as f64 / alone.p50_us as f64, beside.p99_us as f64 / alone.p99_us as f64);
+        println!("    median {p50:.1} times, p99 {p99:.1} times");
+    }
+    Ok(())
 }
 
 fn overrides() -> Result<ExitCode, String> {
@@ -48,6 +87,12 @@
     std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
     let binary = std::env::current_exe().map_err(|e| e.to_string())?;
     let bench = Bench::start(&binary, &dir, a.nodes)?;
+    if a.service {
+        let shown = service(&bench, a.seconds);
+        drop(bench);
+        _ = std::fs::remove_dir_all(&dir);
+        return shown.map(|()| ExitCode::SUCCESS);
+    }
     let straight = Route::Nodes(bench.nodes.iter().map(|n| n.address()).collect());
     let host = Route::Host(bench.host);
     let full =
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,10 +5,12 @@
 mod core_cost;
 mod load;
 mod orders;
+mod service;
 
 pub use core_cost::{core_cost, core_cost_with_orders, CoreCost};
 pub use load::{Load, Route, Shown};
 pub use orders::{timers, Timers};
+pub use service::{beside_greedy, through_library};
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -27,6 +29,7 @@
     list: NodeList,
     child: Child,
     pub host: SocketAddr,
+    pub nbd: SocketAddr,
 }
 
 fn loopback() -> SocketAddr {
@@ -41,6 +44,7 @@
   number = 0
   hosts = 1
   listen = "{listen}"
+  listen_nbd = "127.0.0.1:0"
   node_list = "{list}"
   seed = 1
 }}
@@ -113,14 +117,17 @@
             .stdout(Stdio::piped())
             .spawn()
             .map_err(|e| format!("{}: {e}", binary.display()))?;
-        let mut text = String::new();
         let out = child.stdout.take().ok_or("host: no standard output")?;
-        std::io::BufRead::read_line(&mut std::io::BufReader::new(out), &mut text)
-            .map_err(|e| e.to_string())?;
-        let host = text.trim().strip_prefix("listening ").and_then(|a| a.parse().ok());
-        let host = host.ok_or_else(|| format!("host: {text:?}; expected its address"))?;
+        let mut out = std::io::BufReader::new(out);
+        let mut address = |word: &str| -> Result<SocketAddr, String> {
+            let mut text = String::new();
+            std::io::BufRead::read_line(&mut out, &mut text).map_err(|e| e.to_string())?;
+            let found = text.trim().strip_prefix(word).and_then(|a| a.parse().ok());
+            found.ok_or_else(|| format!("host: {text:?}; expected {word}and its address"))
+        };
+        let (host, nbd) = (address("listening ")?, address("listening-nbd ")?);
         std::thread::sleep(Duration::from_millis(300));
-        Ok(Bench { nodes, list, child, host })
+        Ok(Bench { nodes, list, child, host, nbd })
     }
 
     /// Seconds of CPU that the host has used, resident MiB, and threads.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -208,8 +208,8 @@
         self.nodes.entry(node).and_modify(|n| n.waiting = waiting);
     }
 
-    /// Operators' word on a node: the part of what it would be given otherwise, and whether it stays in service
-    /// whatever its health. Both are off at 1 and false. What the list says, the guards and the rules come first.
+    /// Operators' word on a node: the part of what it would be given otherwise, and whether it stays in
+    /// service whatever its health. Off at 1 and false. The list, the guards and the rules come first.
     pub fn node_ordered(&mut self, now: Instant, node: NodeId, weight: f64, pinned: bool) {
         self.now = now;
         if let Some(n) = self.nodes.get_mut(&node) {
