--- a/crates/client/tests/common/mod.rs
+++ b/crates/client/tests/common/mod.rs
@@ -10,12 +10,14 @@
 use tackmast_standins::list::NodeList;
 use tackmast_standins::model::Nature;
 use tackmast_standins::node::{Marks, Node, NodeSettings};
-use tackmast_trace::Recorder;
+use tackmast_standins::tap;
+use tackmast_trace::{EffectKind, Event, Facts, Recorder, StreamFacts};
 use tackmast_wire::list::{Entry, State};
 
 pub const PATIENCE: Duration = Duration::from_secs(5);
 
 pub struct Pool {
+    pub recorder: Recorder,
     pub nodes: Vec<Node>,
     pub list: NodeList,
     pub host: Host,
@@ -27,6 +29,8 @@
 
 impl Pool {
     pub fn start() -> Pool {
+        let recorder = Recorder::default();
+        recorder.note(Event::Facts(facts()));
         let marks = Arc::new(Marks::default());
         let node = |shard| {
             Node::start(NodeSettings {
@@ -42,12 +46,12 @@
                 cold: false,
                 store: Arc::default(),
                 receive_bytes: 0,
-                recorder: Recorder::off(),
+                recorder: recorder.clone(),
             })
             .unwrap()
         };
         let nodes: Vec<Node> = (0..2).map(node).collect();
-        let list = NodeList::start(loopback(), Recorder::off()).unwrap();
+        let list = NodeList::start(loopback(), recorder.clone()).unwrap();
         list.put(nodes.iter().map(|n| Entry {
             address: n.address().to_string(),
             state: State::Ready,
@@ -118,14 +122,25 @@
             assert!(Instant::now() < until, "no node list");
             std::thread::sleep(Duration::from_millis(2));
         }
-        Pool { nodes, list, host }
+        Pool { recorder, nodes, list, host }
     }
 
     pub fn options(&self, protocol: Protocol, volume: &str) -> Options {
-        let address = match protocol {
-            Protocol::Iscsi => self.host.address,
-            Protocol::Nbd => self.host.nbd.unwrap(),
+        let (tapped, host) = match protocol {
+            Protocol::Iscsi => (tap::Protocol::Iscsi, self.host.address),
+            Protocol::Nbd => (tap::Protocol::Nbd, self.host.nbd.unwrap()),
         };
+        let known = |(lun, name, writes): (u32, &str, u32)| tap::Known {
+            lun,
+            name: name.into(),
+            block_bytes: 512,
+            reads: 0,
+            writes,
+            reads_us: 1_000_000,
+            writes_us: 1_000_000,
+        };
+        let volumes = [(0, "museum", 1), (1, "listening", 2)].map(known).to_vec();
+        let address = tap::start(tapped, host, 0, volumes, self.recorder.clone()).unwrap();
         let lun = u32::from(volume == "listening");
         Options {
             expiry: Duration::from_millis(900),
@@ -134,9 +149,50 @@
         }
     }
 
+    /// The seven rules, on all that the sockets have shown until now.
+    pub fn rules(&self) -> tackmast_rulecheck::Report {
+        // All that was due is past its time by this line.
+        std::thread::sleep(Duration::from_millis(1200));
+        self.recorder.note(Event::Trouble { what: "end".into(), on: false });
+        tackmast_rulecheck::judge(&self.recorder.take())
+    }
+
     pub fn end(self) {
+        let rules = self.rules();
+        assert!(rules.is_clean() && rules.rule(1).checked > 0, "{rules}");
+        self.end_unjudged();
+    }
+
+    /// Where sessions are among them that the tap can't number: those of the public NBD protocol.
+    pub fn end_unjudged(self) {
         self.host.stop();
         self.list.stop();
         self.nodes.iter().for_each(Node::stop);
     }
 }
+
+/// What holds of the settings above.
+fn facts() -> Facts {
+    let stream = |name: &str, effect| StreamFacts {
+        name: name.into(),
+        slo_us: 300_000,
+        effect,
+        window_us: 0,
+        in_order: false,
+    };
+    Facts {
+        streams: vec![
+            stream("read", EffectKind::Repeatable),
+            stream("write", EffectKind::Repeatable),
+            stream("log", EffectKind::Unrepeatable),
+        ],
+        volumes: vec![],
+        unit_bytes: 4096,
+        most_units: 8.0,
+        answer_slack_us: 50_000,
+        grace_us: 250_000,
+        cold_safe_units: f64::MAX,
+        skew_us: 50_000,
+        ..Facts::default()
+    }
+}
--- a/crates/client/tests/suite.rs
+++ b/crates/client/tests/suite.rs
@@ -232,7 +232,7 @@
             client.close();
         }
     }
-    pool.end();
+    pool.end_unjudged();
 }
 
 #[test]
@@ -250,5 +250,5 @@
         let found = Client::open(options, ms(300)).map(|_| ());
         assert!(matches!(found, Err(OpenError::NoAnswer { .. })), "{protocol:?}: {found:?}");
     }
-    pool.end();
+    pool.end_unjudged();
 }
--- a/crates/host/src/sessions.rs
+++ b/crates/host/src/sessions.rs
@@ -163,7 +163,7 @@
         let (offer, units) = (self.offer.clone(), self.units.clone());
         let mut session = match protocol {
             Protocol::Iscsi => AnySession::Iscsi(Session::new(offer, units, number)),
-            Protocol::Nbd => AnySession::Nbd(NbdSession::new(offer, units)),
+            Protocol::Nbd => AnySession::Nbd(NbdSession::new(offer, units, number)),
         };
         if number == 0 {
             tracing::warn!(client, "sessions: {} are open; this one is turned away", b.sessions);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod model;
 pub mod node;
 pub mod store;
+pub mod tap;
--- /dev/null
+++ b/crates/standins/src/tap.rs
@@ -0,0 +1,315 @@
+//! A tap between clients of either protocol and a host: it passes all bytes on as they are, reads along, and records
+//! what was asked and answered, as scripted clients record it of themselves.
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tackmast_trace::{AnswerKind, Event, Recorder};
+use tackmast_wire::iscsi::{self, op, Digests, Pdu, Units};
+use tackmast_wire::nbd::{
+    self, chunk, command, option, reply, ClientUnit, ClientUnits, Reply, ServerUnit, ServerUnits, Stage,
+};
+use tackmast_wire::scsi::{status, Command, Sense};
+
+const SMALL_STACK: usize = 256 << 10;
+const MOST: usize = 16 << 20;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    Iscsi,
+    Nbd,
+}
+
+/// What the tap has to know of a volume.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub lun: u32,
+    pub name: String,
+    pub block_bytes: u32,
+    pub reads: u32,
+    pub writes: u32,
+    /// The stream types' own expiries.
+    pub reads_us: u64,
+    pub writes_us: u64,
+}
+
+struct Inner {
+    protocol: Protocol,
+    host: SocketAddr,
+    number: u32,
+    volumes: Vec<Known>,
+    recorder: Recorder,
+}
+
+/// One session's state, read along from both sides.
+#[derive(Default)]
+struct Seen {
+    session: Option<u32>,
+    volume: Option<usize>,
+    expiry_us: Option<u64>,
+    digests: Digests,
+    in_full: bool,
+    /// Commands without an answer, by the protocol's own number of them.
+    open: HashMap<u64, (u32, usize)>, // host's number, bytes of a read
+    next: u32,
+    asked: Option<String>,
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn spawn(run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    std::thread::Builder::new().name("tap".into()).stack_size(SMALL_STACK).spawn(run).map(|_| ())
+}
+
+/// Starts a tap towards a host; gives the address clients are to use.
+pub fn start(
+    protocol: Protocol,
+    host: SocketAddr,
+    number: u32,
+    volumes: Vec<Known>,
+    recorder: Recorder,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    let inner = Arc::new(Inner { protocol, host, number, volumes, recorder });
+    spawn(move || {
+        for client in listener.incoming().flatten() {
+            let Ok(server) = TcpStream::connect_timeout(&inner.host, Duration::from_secs(1)) else {
+                continue;
+            };
+            let seen = Arc::new(Mutex::new(Seen::default()));
+            let clones = client.try_clone().and_then(|c| Ok((c, server.try_clone()?)));
+            let Ok((client_out, server_out)) = clones else { continue };
+            _ = client.set_nodelay(true).and_then(|()| server.set_nodelay(true));
+            let (one, other, also) = (inner.clone(), inner.clone(), seen.clone());
+            _ = spawn(move || one.upward(client, server_out, &seen));
+            _ = spawn(move || other.downward(server, client_out, &also));
+        }
+    })?;
+    Ok(address)
+}
+
+impl Inner {
+    /// From the client to the host. What is asked is noted before it is passed on.
+    fn upward(&self, mut from: TcpStream, mut to: TcpStream, seen: &Mutex<Seen>) {
+        let mut units = Units::new(MOST);
+        let mut nbd = ClientUnits::new(MOST as u32);
+        let mut buffer = vec![0; 64 << 10];
+        while let Ok(n @ 1..) = from.read(&mut buffer) {
+            let mut s = lock(seen);
+            match self.protocol {
+                Protocol::Iscsi => {
+                    units.digests = s.digests;
+                    units.push(&buffer[..n]);
+                    while let Ok(Some(pdu)) = units.next_unit() {
+                        self.iscsi_asked(&mut s, &pdu);
+                    }
+                }
+                Protocol::Nbd => {
+                    nbd.push(&buffer[..n]);
+                    loop {
+                        if nbd.stage == Stage::Options && s.in_full {
+                            nbd.stage = Stage::Transmission;
+                        }
+                        let Ok(Some(unit)) = nbd.next_unit() else { break };
+                        match unit {
+                            ClientUnit::Flags(_) => nbd.stage = Stage::Options,
+                            ClientUnit::Option { option: option::GO, data } => {
+                                s.asked = nbd::read_go(&data).ok().map(|(name, _)| name);
+                            }
+                            ClientUnit::Option { .. } => {}
+                            ClientUnit::Request { request, .. } => self.nbd_asked(&mut s, &request),
+                        }
+                    }
+                }
+            }
+            drop(s);
+            if to.write_all(&buffer[..n]).is_err() {
+                break;
+            }
+        }
+        self.left(&mut lock(seen));
+        _ = to.shutdown(Shutdown::Both);
+        _ = from.shutdown(Shutdown::Both);
+    }
+
+    fn left(&self, s: &mut Seen) {
+        let open: Vec<u64> = s.open.keys().copied().collect();
+        open.into_iter().for_each(|id| self.leave(s, id));
+    }
+
+    fn leave(&self, s: &mut Seen, id: u64) {
+        if let (Some(session), Some((command, _))) = (s.session, s.open.remove(&id)) {
+            self.recorder.note(Event::Left { host: self.number, session, command });
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn submit(
+        &self,
+        s: &mut Seen,
+        id: u64,
+        command: u32,
+        v: &Known,
+        write: bool,
+        offset: u64,
+        bytes: u64,
+        own: Option<u64>,
+    ) {
+        let Some(session) = s.session else { return };
+        s.open.insert(id, (command, if write { 0 } else { bytes as usize }));
+        let default = if write { v.writes_us } else { v.reads_us };
+        self.recorder.note(Event::Submit {
+            host: self.number,
+            session,
+            command,
+            volume: v.lun,
+            stream: if write { v.writes } else { v.reads },
+            write,
+            offset,
+            bytes,
+            expiry_us: own.or(s.expiry_us).unwrap_or(default),
+        });
+    }
+
+    fn answer(&self, s: &mut Seen, id: u64, kind: AnswerKind) {
+        if let (Some(session), Some((command, _))) = (s.session, s.open.remove(&id)) {
+            self.recorder.note(Event::Answer { host: self.number, session, command, kind, come_back_us: 0 });
+        }
+    }
+
+    fn iscsi_asked(&self, s: &mut Seen, pdu: &Pdu) {
+        match pdu.opcode() {
+            op::COMMAND => {
+                let found = Command::parse(&pdu.cdb());
+                let (write, block, blocks) = match found {
+                    Ok(Command::Read { block, blocks }) => (false, block, blocks),
+                    Ok(Command::Write { block, blocks }) => (true, block, blocks),
+                    _ => return,
+                };
+                let volume = pdu.lun().and_then(|l| self.volumes.iter().find(|v| v.lun == l)).cloned();
+                if let Some(v) = volume {
+                    let unit = u64::from(v.block_bytes);
+                    let (id, bytes) = (u64::from(pdu.tag()), u64::from(blocks) * unit);
+                    self.submit(s, id, pdu.u32(24), &v, write, block * unit, bytes, pdu.expiry());
+                }
+            }
+            op::TASK => self.leave(s, u64::from(pdu.u32(20))),
+            _ => {}
+        }
+    }
+
+    fn nbd_asked(&self, s: &mut Seen, r: &nbd::Request) {
+        match r.kind {
+            command::READ | command::WRITE if r.length > 0 => {
+                s.next = s.next.wrapping_add(1);
+                let Some(v) = s.volume.and_then(|v| self.volumes.get(v)).cloned() else { return };
+                let write = r.kind == command::WRITE;
+                let (number, bytes) = (s.next, u64::from(r.length));
+                self.submit(s, r.cookie, number, &v, write, r.offset, bytes, r.expiry_us);
+            }
+            command::CANCEL => self.leave(s, r.offset),
+            _ => {}
+        }
+    }
+
+    /// From the host to the client. An answer is noted as it comes.
+    fn downward(&self, mut from: TcpStream, mut to: TcpStream, seen: &Mutex<Seen>) {
+        let mut units = Units::new(MOST);
+        let mut nbd = ServerUnits::new(MOST as u32);
+        let mut buffer = vec![0; 64 << 10];
+        while let Ok(n @ 1..) = from.read(&mut buffer) {
+            let mut s = lock(seen);
+            match self.protocol {
+                Protocol::Iscsi => {
+                    units.push(&buffer[..n]);
+                    while let Ok(Some(pdu)) = units.next_unit() {
+                        self.iscsi_answered(&mut s, &pdu);
+                        units.digests = s.digests;
+                    }
+                }
+                Protocol::Nbd => {
+                    nbd.push(&buffer[..n]);
+                    while let Ok(Some(unit)) =
+                        nbd.next_unit(|cookie| s.open.get(&cookie).map_or(0, |(_, bytes)| *bytes))
+                    {
+                        self.nbd_answered(&mut s, &mut nbd, unit);
+                    }
+                }
+            }
+            drop(s);
+            if to.write_all(&buffer[..n]).is_err() {
+                break;
+            }
+        }
+        _ = to.shutdown(Shutdown::Both);
+        _ = from.shutdown(Shutdown::Both);
+    }
+
+    fn iscsi_answered(&self, s: &mut Seen, pdu: &Pdu) {
+        let id = u64::from(pdu.tag());
+        match pdu.opcode() {
+            op::LOGIN_RESPONSE if pdu.head[36] == 0 => {
+                for (key, value) in iscsi::read_keys(&pdu.data).unwrap_or_default() {
+                    match key.as_str() {
+                        "HeaderDigest" => s.digests.header = value == "CRC32C",
+                        "DataDigest" => s.digests.data = value == "CRC32C",
+                        "X-org.tackmast.ExpiryMs" => {
+                            s.expiry_us = value.parse::<u64>().ok().map(|ms| ms * 1000)
+                        }
+                        _ => {}
+                    }
+                }
+                s.session = Some(u32::from(pdu.u16(14)));
+            }
+            op::DATA_IN if pdu.has(iscsi::STATUS_HERE) => self.answer(s, id, AnswerKind::Done),
+            op::RESPONSE => {
+                let kind = match pdu.head[3] {
+                    status::GOOD => AnswerKind::Done,
+                    status::BUSY => AnswerKind::Deferred,
+                    _ if Sense::from_segment(&pdu.data) == Some(Sense::ABANDONED) => AnswerKind::Abandoned,
+                    _ => AnswerKind::Rejected,
+                };
+                self.answer(s, id, kind);
+            }
+            _ => {}
+        }
+    }
+
+    fn nbd_answered(&self, s: &mut Seen, units: &mut ServerUnits, unit: ServerUnit) {
+        match unit {
+            ServerUnit::Greeting { .. } => units.stage = Stage::Options,
+            ServerUnit::OptionReply { option: option::TACKMAST, kind: reply::ACK, data } => {
+                s.session = nbd::read_session(&data);
+            }
+            ServerUnit::OptionReply { option: option::GO, kind: reply::ACK, .. } => {
+                let asked = s.asked.take().unwrap_or_default();
+                s.volume = self.volumes.iter().position(|v| v.name == asked);
+                s.in_full = true;
+                units.stage = Stage::Transmission;
+            }
+            ServerUnit::OptionReply { .. } => {}
+            ServerUnit::Reply(Reply::Simple { cookie, error, .. }) => {
+                let kind = if error == 0 { AnswerKind::Done } else { AnswerKind::Abandoned };
+                self.answer(s, cookie, kind);
+            }
+            ServerUnit::Reply(Reply::Chunk { cookie, flags, kind, data }) => {
+                let kind = match kind {
+                    chunk::DEFERRED => AnswerKind::Deferred,
+                    chunk::ERROR if nbd::read_error(&data).is_ok_and(|(code, _)| code != nbd::error::IO) => {
+                        AnswerKind::Rejected
+                    }
+                    k if k & 0x8000 != 0 => AnswerKind::Abandoned,
+                    _ => AnswerKind::Done,
+                };
+                if flags & nbd::DONE != 0 {
+                    self.answer(s, cookie, kind);
+                }
+            }
+        }
+    }
+}
--- a/crates/target/src/nbd.rs
+++ b/crates/target/src/nbd.rs
@@ -22,6 +22,7 @@
 
 pub struct NbdSession {
     offer: Arc<Offer>,
+    number: u16,
     units: Arc<Vec<Unit>>,
     unit: Option<Unit>,
     input: ClientUnits,
@@ -39,12 +40,13 @@
 }
 
 impl NbdSession {
-    pub fn new(offer: Arc<Offer>, units: Arc<Vec<Unit>>) -> Self {
+    pub fn new(offer: Arc<Offer>, units: Arc<Vec<Unit>>, number: u16) -> Self {
         let mut output = BytesMut::new();
         output.put_slice(&nbd::greeting());
         NbdSession {
             input: ClientUnits::new(offer.most_command),
             offer,
+            number,
             units,
             unit: None,
             output,
@@ -201,7 +203,7 @@
                 Ok(theirs) if theirs > 0 && self.structured => {
                     // The lower of the two newest: each side keeps to what both know.
                     self.additions = theirs.min(ADDITIONS);
-                    let ours = nbd::write_version(self.additions);
+                    let ours = nbd::write_agreed(self.additions, u32::from(self.number));
                     self.answer_option(number, reply::ACK, &ours);
                 }
                 _ => self.answer_option(
--- /dev/null
+++ b/crates/target/tests/damaged.rs
@@ -0,0 +1,159 @@
+//! Valid streams of both protocols, damaged: no bytes make a session panic, answer a command twice, or keep more than it
+//! may. The streams of a first library are kept here as they were sent, byte by byte.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::sync::Arc;
+use tackmast_target::{AnySession, Event, NbdSession, Offer, Session, Verdict, Work};
+use tackmast_wire::iscsi::{self, op, Digests, Pdu, FINAL, READS, WRITES};
+use tackmast_wire::nbd;
+use tackmast_wire::scsi::{Command, Unit};
+
+fn session(is_nbd: bool) -> AnySession {
+    let offer = Arc::new(Offer {
+        target_name: "iqn.test:pool".into(),
+        most_segment: 8192,
+        first_burst: 4096,
+        most_burst: 8192,
+        window: 8,
+        most_command: 32 << 10,
+        expiry_ms: (50, 5000),
+    });
+    let unit = Unit { lun: 0, name: "museum".into(), blocks: 1000, block_bytes: 512, most_blocks: 32 };
+    let units = Arc::new(vec![unit]);
+    match is_nbd {
+        true => AnySession::Nbd(NbdSession::new(offer, units, 1)),
+        false => AnySession::Iscsi(Session::new(offer, units, 1)),
+    }
+}
+
+/// A login, a read, a write with immediate data, a NOP and a logout.
+fn iscsi_stream() -> Vec<u8> {
+    let mut out = BytesMut::new();
+    let mut put = |pdu: &Pdu| iscsi::encode(pdu, Digests::default(), &mut out);
+    let mut login = Pdu::new(op::LOGIN | 0x40, FINAL | 1 << 2 | 3);
+    login.set32(16, 1).set32(24, 1);
+    login.data = iscsi::write_keys([("InitiatorName", "iqn.test:old"), ("TargetName", "iqn.test:pool")]);
+    put(&login);
+    for (i, (command, flags, data)) in [
+        (Command::Read { block: 3, blocks: 2 }, READS, vec![]),
+        (Command::Write { block: 7, blocks: 2 }, WRITES, vec![9; 1024]),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut pdu = Pdu::new(op::COMMAND, FINAL | flags);
+        pdu.set32(16, 10 + i as u32).set32(20, 1024).set32(24, 1 + i as u32);
+        pdu.head[32..].copy_from_slice(&command.to_cdb());
+        pdu.data = Bytes::from(data);
+        put(&pdu);
+    }
+    let mut nop = Pdu::new(op::NOP_OUT, FINAL);
+    nop.set32(16, 20).set32(20, u32::MAX).set32(24, 3);
+    put(&nop);
+    let mut out_unit = Pdu::new(op::LOGOUT | 0x40, FINAL);
+    out_unit.set32(16, 21).set32(24, 4);
+    put(&out_unit);
+    out.to_vec()
+}
+
+/// What a library of the public NBD protocol sends: flags, GO, a read, a write, a flush, and its end.
+const NBD_PUBLIC: &[&str] = &[
+    "00000003",
+    "49484156454f5054 00000007 0000000e 00000006 6d757365756d 0001 0003",
+    "25609513 0000 0000 00000000000000a1 0000000000000600 00000400",
+    "25609513 0001 0001 00000000000000a2 0000000000000e00 00000200 DATA",
+    "25609513 0000 0003 00000000000000a3 0000000000000000 00000000",
+    "25609513 0000 0002 00000000000000a4 0000000000000000 00000000",
+];
+
+fn nbd_stream() -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for line in NBD_PUBLIC {
+        let hex: String =
+            line.replace("DATA", &"5a".repeat(512)).chars().filter(|c| !c.is_whitespace()).collect();
+        bytes.extend((0..hex.len() / 2).map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).unwrap()));
+    }
+    bytes
+}
+
+/// Feeds the bytes; each submitted command is answered, and a second answer must not be taken.
+fn feed(s: &mut AnySession, bytes: &[u8]) -> (Vec<Event>, usize) {
+    let mut events = Vec::new();
+    let mut out = 0;
+    for piece in bytes.chunks(100) {
+        let taken = s.take(piece);
+        while let Some(e) = s.next_event() {
+            if let Event::Submit { command, work, .. } = &e {
+                let data = match work {
+                    Work::Read { blocks } => Bytes::from(vec![1; *blocks as usize * 512]),
+                    Work::Write { data } => {
+                        assert!(data.len() <= 32 << 10);
+                        Bytes::new()
+                    }
+                };
+                s.answer(*command, Verdict::Done { data });
+                assert!(!s.answer(*command, Verdict::Abandoned), "answered twice");
+            }
+            events.push(e);
+        }
+        out += s.output().len();
+        if taken.is_err() || s.is_over() {
+            break;
+        }
+    }
+    (events, out)
+}
+
+#[test]
+fn the_first_libraries_bytes_are_served_as_they_were() {
+    for is_nbd in [false, true] {
+        let bytes = if is_nbd { nbd_stream() } else { iscsi_stream() };
+        let mut s = session(is_nbd);
+        let (events, out) = feed(&mut s, &bytes);
+        let submitted: Vec<(u64, bool)> = events
+            .iter()
+            .filter_map(|e| match e {
+                Event::Submit { block, work, .. } => Some((*block, matches!(work, Work::Write { .. }))),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(submitted, [(3, false), (7, true)], "nbd {is_nbd}");
+        assert!(s.is_over() && out > 1024, "nbd {is_nbd}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn damaged_streams_harm_nobody(
+        is_nbd in any::<bool>(),
+        flips in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
+        cut in any::<prop::sample::Index>(),
+        insert in proptest::collection::vec(any::<u8>(), 0..40),
+    ) {
+        let mut bytes = if is_nbd { nbd_stream() } else { iscsi_stream() };
+        for (at, byte) in flips {
+            let i = at.index(bytes.len());
+            bytes[i] = byte;
+        }
+        let at = cut.index(bytes.len());
+        bytes.splice(at..at, insert);
+        feed(&mut session(is_nbd), &bytes);
+    }
+
+    #[test]
+    fn any_bytes_after_the_greeting_harm_nobody(bytes in proptest::collection::vec(any::<u8>(), 0..600), stage in 0u8..3) {
+        let mut nbd = session(true);
+        // At any point of the handshake.
+        let valid = nbd_stream();
+        let upto = [0, 4, 34][usize::from(stage)];
+        feed(&mut nbd, &valid[..upto]);
+        feed(&mut nbd, &bytes);
+        let mut iscsi = session(false);
+        feed(&mut iscsi, &bytes);
+        _ = nbd::read_go(&Bytes::from(bytes));
+    }
+}
--- a/crates/wire/src/nbd.rs
+++ b/crates/wire/src/nbd.rs
@@ -353,6 +353,21 @@
     Fields(data.clone()).u16("version of the additions")
 }
 
+/// The service's answer to the project's option: the version that both speak, and the number of this session, by which
+/// a client and the nodes' own records can be brought together.
+pub fn write_agreed(version: u16, session: u32) -> Bytes {
+    let mut out = BytesMut::new();
+    out.put_u16(version);
+    out.put_u32(session);
+    out.freeze()
+}
+
+pub fn read_session(data: &Bytes) -> Option<u32> {
+    let mut f = Fields(data.clone());
+    f.u16("version of the additions").ok()?;
+    f.u32("session").ok()
+}
+
 /// An error chunk's data: the value, and a text for people. A deferral has the time to come back in microseconds there
 /// instead.
 pub fn write_error(value: u32, text: &[u8]) -> Bytes {
