Clients that leave half-way and clients that never read, on both protocols

Cause: two hard cases of the service were untested. Change: uploads cut at every phase over both protocols, and a client that asks without end and reads nothing.

Measured: not a byte of the cut uploads is read afterwards, nothing stays in the host's tables; beside the greedy client each read of another is answered within 800 ms and at most 200 commands are open.

--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -37,6 +37,7 @@
           number = 0
           hosts = 1
           listen = "127.0.0.1:0"
+          listen_nbd = "127.0.0.1:0"
           node_list = "{list}"
           seed = 7
         }}
--- /dev/null
+++ b/crates/host/tests/rough.rs
@@ -0,0 +1,105 @@
+//! Clients that leave in the middle, and clients that never read: a half-written extent is never seen, and the others are
+//! unharmed.
+
+mod common;
+
+use bytes::BytesMut;
+use common::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use tackmast_standins::model::Nature;
+use tackmast_wire::iscsi::{op, Digests, Pdu, FINAL, WRITES};
+use tackmast_wire::nbd;
+use tackmast_wire::scsi::Command;
+
+fn quick() -> Nature {
+    Nature { unit_s: 0.0002, ..Nature::default() }
+}
+
+/// An NBD connection past its handshake, over the public protocol.
+fn nbd_open(pool: &Pool, volume: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(pool.host.nbd.unwrap()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut out = BytesMut::from(&3u32.to_be_bytes()[..]);
+    nbd::option(nbd::option::EXPORT_NAME, volume.as_bytes(), &mut out);
+    stream.write_all(&out).unwrap();
+    // Greeting, size and flags.
+    let mut start = [0; 18 + 10];
+    stream.read_exact(&mut start).unwrap();
+    stream
+}
+
+fn request(kind: u16, cookie: u64, offset: u64, length: u32) -> BytesMut {
+    let mut out = BytesMut::new();
+    nbd::Request { flags: 0, kind, cookie, offset, length, expiry_us: None }.encode(&mut out);
+    out
+}
+
+#[test]
+fn a_client_that_leaves_half_way_through_an_upload_has_written_nothing() {
+    let pool = pool(quick(), "");
+    let client = pool.client(Digests::default(), None);
+    let old = pattern(1, 64 * 512);
+    assert_eq!(client.write(1, 0, old.clone()), done(vec![]));
+    // NBD: after the header, half of the data, all but a byte of it.
+    for part in [0, 16 * 1024, 32 * 1024 - 1] {
+        let mut stream = nbd_open(&pool, "museum");
+        let mut bytes = request(nbd::command::WRITE, 7, 0, 32 * 1024);
+        bytes.extend_from_slice(&vec![0xee; part]);
+        stream.write_all(&bytes).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // iSCSI: with its immediate data, and with a part of what was solicited.
+    for solicited in [0, 4096, 65_536] {
+        let other = pool.client(Digests::default(), None);
+        let number = other.initiator.next_number();
+        let mut pdu = Pdu::new(op::COMMAND, FINAL | WRITES);
+        pdu.set_lun(1).set32(16, number).set32(20, 256 * 512).set32(24, number);
+        pdu.head[32..].copy_from_slice(&Command::Write { block: 0, blocks: 256 }.to_cdb());
+        pdu.data = vec![0xee; 16_384].into();
+        let mut bytes = BytesMut::new();
+        tackmast_wire::iscsi::encode(&pdu, Digests::default(), &mut bytes);
+        if solicited > 0 {
+            let mut data = Pdu::new(op::DATA_OUT, 0);
+            data.set_lun(1).set32(16, number).set32(20, number).set32(40, 16_384);
+            data.data = vec![0xee; solicited].into();
+            tackmast_wire::iscsi::encode(&data, Digests::default(), &mut bytes);
+        }
+        other.initiator.raw(&bytes);
+        std::thread::sleep(Duration::from_millis(20));
+        other.initiator.leave();
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(client.read(1, 0, 64), done(old), "not a byte of the uploads is there");
+    let s = pool.host.status().unwrap();
+    assert_eq!((s.commands, s.transfers, s.legs), (0, 0, 0));
+    pool.end();
+}
+
+#[test]
+fn a_client_that_never_reads_is_held_and_the_others_are_unharmed() {
+    let pool = pool(quick(), "");
+    let client = pool.client(Digests::default(), None);
+    // It asks for far more than its socket and its share of the host's memory hold.
+    let mut greedy = nbd_open(&pool, "museum");
+    greedy.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    let started = Instant::now();
+    let mut sent = 0u64;
+    while started.elapsed() < Duration::from_secs(2) {
+        if greedy.write_all(&request(nbd::command::READ, sent, 0, 256 * 512)).is_err() {
+            break;
+        }
+        sent += 1;
+        if sent.is_multiple_of(100) {
+            let asked = Instant::now();
+            assert_eq!(client.read(1, 5000, 1), done(vec![0; 512]));
+            assert!(asked.elapsed() < Duration::from_millis(800), "after {sent}: {:?}", asked.elapsed());
+        }
+    }
+    let s = pool.host.status().unwrap();
+    assert!(s.commands <= 200, "{} commands are open", s.commands);
+    drop(greedy);
+    assert_eq!(client.read(1, 5000, 1), done(vec![0; 512]));
+    pool.end();
+}
