A stand-in node records the time a leg has left when it came, not when it was sent

The node itself kept to the right end; only the record did not.

Change: the record holds what is left by the node's own reckoning. A test sends a leg whose last byte comes late.

--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -590,6 +590,7 @@
                     c.offset = c.offset.min(now as i64 - leg.sent_us as i64);
                     c.offset
                 });
+                let until = (leg.sent_us as i64 + offset).max(0) as u64 + u64::from(leg.left_us);
                 let (write, bytes) = match &leg.work {
                     Work::Read { length } => (false, u64::from(*length)),
                     Work::Write { data } => (true, data.len() as u64),
@@ -607,7 +608,9 @@
                     units: f64::from(leg.units),
                     key: leg.key,
                     mark: format!("{:x}", leg.mark),
-                    left_us: u64::from(leg.left_us),
+                    // Its time ends when its host ends it, however long its bytes were on the way: told by the time
+                    // it had when it was sent, it would seem to be out longer, and its key's next one too early.
+                    left_us: until.saturating_sub(came),
                 };
                 if self.settings.recorder.is_on() {
                     self.settings.recorder.note_at(came, leg_event());
@@ -623,7 +626,7 @@
                     write,
                     key: leg.key ^ leg.offset << 8,
                     further: leg.leg_no > 0,
-                    until: (leg.sent_us as i64 + offset).max(0) as u64 + u64::from(leg.left_us),
+                    until,
                 };
                 s.held.insert(id, Held { conn, leg, name });
                 s.model.arrive(now, job);
@@ -690,3 +693,71 @@
     _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
     _ = stream.shutdown(Shutdown::Both);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+    use tackmast_wire::node::{Origin, SendLeg};
+
+    #[test]
+    fn a_leg_that_was_long_on_the_way_has_that_much_less_time() {
+        let recorder = Recorder::default();
+        let node = Node::start(NodeSettings {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            shard: 0,
+            zone: 0,
+            nature: Nature::default(),
+            seed: 1,
+            most_data: 1 << 16,
+            report_every: Duration::from_secs(1),
+            marks: Arc::default(),
+            window_s: 5.0,
+            cold: false,
+            store: Arc::default(),
+            receive_bytes: 0,
+            recorder: recorder.clone(),
+        })
+        .unwrap();
+        let mut link = TcpStream::connect(node.address()).unwrap();
+        let hello = Frame::HostHello { version: wire::VERSION, host: 0, life: 1, sent_us: now_us() };
+        link.write_all(&hello.to_bytes()).unwrap();
+        let leg = |leg| {
+            let origin = Origin { session: 1, command: 1, part: 0 };
+            let work = Work::Read { length: 512 };
+            let (sent_us, left_us) = (now_us(), 400_000);
+            let (xfer, leg_no, mark, key, volume, offset, units) = (leg, 0, 0, 0, 0, 0, 1.0);
+            let leg = SendLeg {
+                leg,
+                xfer,
+                leg_no,
+                origin,
+                sent_us,
+                left_us,
+                mark,
+                key,
+                volume,
+                offset,
+                units,
+                work,
+            };
+            Frame::Send(leg).to_bytes()
+        };
+        // The second one's last byte comes late.
+        link.write_all(&leg(1)).unwrap();
+        let bytes = leg(2);
+        link.write_all(&bytes[..bytes.len() - 1]).unwrap();
+        std::thread::sleep(Duration::from_millis(150));
+        link.write_all(&bytes[bytes.len() - 1..]).unwrap();
+        let (mut left, until) = (Vec::new(), std::time::Instant::now() + Duration::from_secs(5));
+        while left.len() < 2 && std::time::Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+            left.extend(recorder.take().into_iter().filter_map(|l| match l.event {
+                Event::Leg { left_us, .. } => Some(left_us),
+                _ => None,
+            }));
+        }
+        assert!(left.len() == 2 && left[0] > 350_000 && left[1] < 300_000, "{left:?}");
+        node.stop();
+    }
+}
