Sessions cut with commands out, and answers lost after the effect, on both protocols

Need: a reply lost after the effect and a session dropped and resumed were held only by way of other cases.

Change: the tap between clients and a host can end a session once the host has a command, or in place of its answer.

--- a/crates/client/tests/common/mod.rs
+++ b/crates/client/tests/common/mod.rs
@@ -21,6 +21,7 @@
     pub nodes: Vec<Node>,
     pub list: NodeList,
     pub host: Host,
+    pub cutter: tap::Cutter,
 }
 
 fn loopback() -> SocketAddr {
@@ -122,7 +123,7 @@
             assert!(Instant::now() < until, "no node list");
             std::thread::sleep(Duration::from_millis(2));
         }
-        Pool { recorder, nodes, list, host }
+        Pool { recorder, nodes, list, host, cutter: tap::Cutter::default() }
     }
 
     pub fn options(&self, protocol: Protocol, volume: &str) -> Options {
@@ -140,7 +141,8 @@
             writes_us: 1_000_000,
         };
         let volumes = [(0, "museum", 1), (1, "listening", 2)].map(known).to_vec();
-        let address = tap::start(tapped, host, 0, volumes, self.recorder.clone()).unwrap();
+        let address =
+            tap::start(tapped, host, 0, volumes, self.recorder.clone(), self.cutter.clone()).unwrap();
         let lun = u32::from(volume == "listening");
         Options {
             expiry: Duration::from_millis(900),
@@ -151,10 +153,15 @@
 
     /// The seven rules, on all that the sockets have shown until now.
     pub fn rules(&self) -> tackmast_rulecheck::Report {
+        tackmast_rulecheck::judge(&self.seen())
+    }
+
+    /// All that the sockets have shown until now, and are going to.
+    pub fn seen(&self) -> Vec<tackmast_trace::Line> {
         // All that was due is past its time by this line.
         std::thread::sleep(Duration::from_millis(1200));
         self.recorder.note(Event::Trouble { what: "end".into(), on: false });
-        tackmast_rulecheck::judge(&self.recorder.take())
+        self.recorder.take()
     }
 
     pub fn end(self) {
--- a/crates/standins/src/tap.rs
+++ b/crates/standins/src/tap.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tackmast_trace::{AnswerKind, Event, Recorder};
@@ -35,12 +36,36 @@
     pub writes_us: u64,
 }
 
+/// What the tap does to a session, once for each order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// The session ends when the host has a command that it has not answered.
+    Asked = 1,
+    /// The session ends in place of the next answer: the host gave it, and nobody has it.
+    Answer = 2,
+}
+
+/// Orders to a tap.
+#[derive(Clone, Debug, Default)]
+pub struct Cutter(Arc<AtomicU8>);
+
+impl Cutter {
+    pub fn order(&self, cut: Cut) {
+        self.0.store(cut as u8, SeqCst);
+    }
+
+    fn due(&self, cut: Cut) -> bool {
+        self.0.compare_exchange(cut as u8, 0, SeqCst, SeqCst).is_ok()
+    }
+}
+
 struct Inner {
     protocol: Protocol,
     host: SocketAddr,
     number: u32,
     volumes: Vec<Known>,
     recorder: Recorder,
+    cutter: Cutter,
 }
 
 /// One session's state, read along from both sides.
@@ -72,10 +97,11 @@
     number: u32,
     volumes: Vec<Known>,
     recorder: Recorder,
+    cutter: Cutter,
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0))?;
     let address = listener.local_addr()?;
-    let inner = Arc::new(Inner { protocol, host, number, volumes, recorder });
+    let inner = Arc::new(Inner { protocol, host, number, volumes, recorder, cutter });
     spawn(move || {
         for client in listener.incoming().flatten() {
             let Ok(server) = TcpStream::connect_timeout(&inner.host, Duration::from_secs(1)) else {
@@ -127,8 +153,9 @@
                     }
                 }
             }
+            let waits = !s.open.is_empty();
             drop(s);
-            if to.write_all(&buffer[..n]).is_err() {
+            if to.write_all(&buffer[..n]).is_err() || waits && self.cutter.due(Cut::Asked) {
                 break;
             }
         }
@@ -224,6 +251,7 @@
         let mut buffer = vec![0; 64 << 10];
         while let Ok(n @ 1..) = from.read(&mut buffer) {
             let mut s = lock(seen);
+            let open = s.open.len();
             match self.protocol {
                 Protocol::Iscsi => {
                     units.push(&buffer[..n]);
@@ -241,8 +269,9 @@
                     }
                 }
             }
+            let answered = s.open.len() < open;
             drop(s);
-            if to.write_all(&buffer[..n]).is_err() {
+            if answered && self.cutter.due(Cut::Answer) || to.write_all(&buffer[..n]).is_err() {
                 break;
             }
         }
