--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -86,6 +86,10 @@
         r.events,
         r.stuck
     );
+    println!(
+        "{} calls through the libraries, {} done, {} late; {} orders taken, {} refused",
+        r.calls, r.calls_done, r.calls_late, r.orders.0, r.orders.1
+    );
     println!(
         "most open at one host: {} commands, {} transfers, {} legs",
         r.most_open.0, r.most_open.1, r.most_open.2
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -105,7 +105,7 @@
         let stopping = Arc::new(AtomicBool::new(false));
         let (urgent, urgent_in) = crossbeam_channel::bounded(EVENTS);
         let (events, events_in) = crossbeam_channel::bounded(EVENTS);
-        let units = sessions::units(&settings, core.layout());
+        let units = Arc::new(tackmast_target::units(&settings, |v| core.layout().most_blocks(v)));
         let mut threads = Vec::new();
         let list = list::start(settings.clone(), clock, urgent.clone(), stopping.clone())?;
         let to_store = match &settings.overrides {
--- a/crates/host/src/sessions.rs
+++ b/crates/host/src/sessions.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tackmast::interface::{Instant, Span};
 use tackmast_config::HostSettings;
-use tackmast_hostcore::{CommandRef, Layout, Verdict, Work};
+use tackmast_hostcore::{CommandRef, Verdict, Work};
 use tackmast_target as target;
 use tackmast_target::{AnySession, NbdSession, Offer, Session};
 use tackmast_wire::scsi::Unit;
@@ -33,18 +33,6 @@
     Poke,
 }
 
-/// What the target tells of the volumes.
-pub fn units(s: &HostSettings, layout: &Layout) -> Arc<Vec<Unit>> {
-    let unit = |(i, v): (usize, &tackmast_config::Volume)| Unit {
-        lun: v.lun,
-        name: v.name.clone(),
-        blocks: v.blocks,
-        block_bytes: v.block_bytes,
-        most_blocks: layout.most_blocks(i),
-    };
-    Arc::new(s.volumes.iter().enumerate().map(unit).collect())
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Protocol {
     Iscsi,
@@ -73,17 +61,7 @@
     clock: Clock,
     events: Sender<Event>,
 ) -> Arc<House> {
-    let b = &settings.bounds;
-    let longest = settings.streams.iter().map(|s| s.expiry.secs()).fold(1.0, f64::max);
-    let offer = Arc::new(Offer {
-        target_name: settings.host.target.clone(),
-        most_segment: b.segment,
-        first_burst: b.first_burst,
-        most_burst: b.burst,
-        window: b.window,
-        most_command: b.command_bytes,
-        expiry_ms: (settings.host.answer_lead_ms as u32 + 10, (longest * 1e4) as u32),
-    });
+    let offer = Arc::new(Offer::of(&settings));
     let (open, turned_away) = (Mutex::new((HashSet::new(), 0)), Mutex::new(0));
     Arc::new(House { settings, units, offer, clock, events, open, turned_away })
 }
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -1,5 +1,7 @@
 //! A world drawn from a seed: swarm-style, each run has a random subset of the troubles, with drawn strength.
 
+use tackmast_overrides::Kind as OrderKind;
+
 /// What goes wrong, and how strongly.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
@@ -31,6 +33,10 @@
     Surge(f64),
     /// Clients leave in the middle.
     Leave(f64),
+    /// An operator's order of a node, at one host or at all, that ends with the trouble.
+    Order(OrderKind, bool),
+    /// A part of all clients' connections ends.
+    Hangup(f64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,6 +61,11 @@
     pub list_late_us: u64,
     pub unit_s: f64,
     pub cores: u32,
+    /// Clients of each host that speak a protocol: iSCSI-style, NBD.
+    pub clients: [u32; 2],
+    /// Hosts' wall clocks are off by up to so many seconds, and their steady clocks drift by up to this part.
+    pub wall_off_s: f64,
+    pub drift: f64,
     pub troubles: Vec<Trouble>,
 }
 
@@ -79,6 +90,9 @@
             list_late_us: c.rand_range(10_000..1_000_000),
             unit_s,
             cores,
+            clients: [0; 2],
+            wall_off_s: 0.0,
+            drift: 0.0,
             troubles: Vec::new(),
         };
         for number in 0..17u32 {
@@ -112,6 +126,45 @@
                 w.troubles.push(Trouble { at_us, for_us, kind, node, host });
             }
         }
+        w.draw_more(&mut c);
         w
     }
+
+    /// Drawn after the rest, so that older seeds keep their troubles.
+    fn draw_more(&mut self, c: &mut oorandom::Rand64) {
+        if c.rand_float() < 0.5 {
+            self.clients = [c.rand_range(0..3) as u32, c.rand_range(0..3) as u32];
+        }
+        if c.rand_float() < 0.4 {
+            // From a fraction of a second to minutes.
+            self.wall_off_s = 0.05 * 10f64.powf(3.4 * c.rand_float());
+            self.drift = 2e-4 * c.rand_float();
+        }
+        let mut named = std::collections::BTreeSet::new();
+        for number in 0..2u32 {
+            while c.rand_float() < 0.33 {
+                let at_us = (c.rand_float() * self.seconds * 0.8 * 1e6) as u64;
+                let for_us = (c.rand_float() * 2.5e6) as u64 + 200_000;
+                let (x, y) = (c.rand_float(), c.rand_float());
+                let node = c.rand_range(0..u64::from(self.nodes)) as u32;
+                let host = c.rand_range(0..u64::from(self.hosts)) as u32;
+                let kind = match number {
+                    0 => {
+                        let orders =
+                            [OrderKind::OutOfService, OrderKind::Weight(0.1 + 0.9 * y), OrderKind::Pinned];
+                        Kind::Order(orders[(x * 3.0) as usize % 3], c.rand_float() < 0.5)
+                    }
+                    _ => Kind::Hangup(x),
+                };
+                // One order a node: which of two holds is the overrides' own matter, and tested there.
+                if number > 0 || named.insert(node) {
+                    self.troubles.push(Trouble { at_us, for_us, kind, node, host: Some(host) });
+                }
+            }
+        }
+    }
+
+    pub fn has_orders(&self) -> bool {
+        self.troubles.iter().any(|t| matches!(t.kind, Kind::Order(..)))
+    }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,13 @@
 //! The laboratory: the very host core that `tackmast serve` runs, with the node protocol's codec, on simulated links and
 //! nodes, in virtual time. One seed gives one run, to the byte. Figures are of models.
 
+mod clients;
 mod draw;
+mod plain;
 mod sim;
 
 pub use draw::{Kind, Trouble, World};
+pub use plain::Plain;
 pub use sim::{run, Mutant, Run};
 
 use tackmast_rulecheck::{judge, Report};
@@ -17,7 +20,7 @@
 }
 
 pub fn play(world: &World, mutant: Option<Mutant>) -> Found {
-    let run = run(world, mutant);
+    let run = run(world, mutant, None);
     Found { seed: world.seed, report: judge(&run.trace), run }
 }
 
@@ -28,7 +31,7 @@
 
 impl Found {
     pub fn is_bad(&self) -> bool {
-        !self.report.is_clean() || self.run.stuck > 0
+        !self.report.is_clean() || self.run.stuck > 0 || self.run.calls_late > 0
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/plain.rs
@@ -0,0 +1,378 @@
+//! Plain hosts to compare with: they take the same inputs and give the same outputs as the host core, and know none of
+//! its defences. They live here and nowhere in the product, and break rules that the product keeps.
+
+use bytes::{Bytes, BytesMut};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use tackmast::interface::{Instant, ListKind, NodeId, NodeState, Outcome, ShardId, Span};
+use tackmast_config::HostSettings;
+use tackmast_hostcore::{
+    CommandRef, Core, Layout, LegBack, LegId, LegWork, ListEntry, Nodes, Output, Part, SendLeg, Ticket,
+    Verdict, Work,
+};
+
+/// Legs that `Caps` keeps out at a node, at most.
+const CAP: usize = 8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plain {
+    /// First come, first served: all that is asked leaves at once.
+    Fcfs,
+    /// The same, and no more than a fixed number is out at a node.
+    Caps,
+    /// The same as the first, and each volume is held to its limit by a token bucket for this host's even part.
+    Buckets,
+}
+
+/// What a simulated host runs.
+pub enum Heart {
+    Core(Box<Core>),
+    Plain(Box<PlainHost>),
+}
+
+pub struct PlainHost {
+    how: Plain,
+    layout: Layout,
+    settings: HostSettings,
+    nodes: Nodes,
+    serving: BTreeMap<ShardId, NodeId>,
+    queues: BTreeMap<ShardId, VecDeque<u64>>,
+    out: BTreeMap<ShardId, usize>,
+    /// Tokens of each volume, and when they were counted.
+    tokens: HashMap<usize, (f64, Instant)>,
+    commands: HashMap<CommandRef, Vec<u64>>,
+    xfers: HashMap<u64, Xfer>,
+    until: BTreeSet<(Instant, u64)>,
+    serial: u64,
+    outputs: VecDeque<Output>,
+    version: u64,
+    listed: bool,
+}
+
+struct Xfer {
+    from: CommandRef,
+    part: u16,
+    spec: Part,
+    volume: usize,
+    stream: usize,
+    data: Option<Bytes>,
+    expiry: Instant,
+    node: Option<NodeId>,
+    done: Option<Bytes>,
+}
+
+impl PlainHost {
+    pub fn new(how: Plain, settings: &HostSettings) -> Self {
+        PlainHost {
+            how,
+            layout: Layout::new(settings),
+            settings: settings.clone(),
+            nodes: Nodes::new(settings.bounds.nodes),
+            serving: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            out: BTreeMap::new(),
+            tokens: HashMap::new(),
+            commands: HashMap::new(),
+            xfers: HashMap::new(),
+            until: BTreeSet::new(),
+            serial: 0,
+            outputs: VecDeque::new(),
+            version: 0,
+            listed: false,
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Instant,
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: &Work,
+        asked: Option<Span>,
+    ) {
+        let Some(volume) = self.layout.volume_of(lun) else { return };
+        let size = self.layout.volume(volume).block_bytes as usize;
+        let (write, blocks) = match work {
+            Work::Read { blocks } => (false, *blocks),
+            Work::Write { data } => (true, (data.len() / size) as u32),
+        };
+        let stream = self.layout.stream(volume, write, blocks);
+        let expiry = now + asked.unwrap_or(self.settings.streams[stream].expiry);
+        let mut ids = Vec::new();
+        let mut taken = 0;
+        for (i, spec) in self.layout.parts(volume, stream, block, blocks).into_iter().enumerate() {
+            self.serial += 1;
+            let bytes = spec.blocks as usize * size;
+            let data = match work {
+                Work::Write { data } => Some(data.slice(taken..taken + bytes)),
+                Work::Read { .. } => None,
+            };
+            taken += bytes;
+            let (part, node, done) = (i as u16, None, None);
+            self.queues.entry(spec.shard).or_default().push_back(self.serial);
+            self.until.insert((expiry, self.serial));
+            self.xfers
+                .insert(self.serial, Xfer { from, part, spec, volume, stream, data, expiry, node, done });
+            ids.push(self.serial);
+        }
+        match ids.is_empty() {
+            true => self.answer(from, Verdict::Deferred { come_back: None }),
+            false => _ = self.commands.insert(from, ids),
+        }
+    }
+
+    fn answer(&mut self, to: CommandRef, verdict: Verdict) {
+        self.outputs.push_back(Output::Answer { to, verdict });
+    }
+
+    fn forget(&mut self, from: CommandRef) -> Vec<Xfer> {
+        let mut gone = Vec::new();
+        for id in self.commands.remove(&from).unwrap_or_default() {
+            let Some(x) = self.xfers.remove(&id) else { continue };
+            self.until.remove(&(x.expiry, id));
+            if let Some(node) = x.node.filter(|_| x.done.is_none()) {
+                *self.out.entry(x.spec.shard).or_default() -= 1;
+                self.outputs.push_back(Output::Cancel { node, leg: LegId(id << 8) });
+            }
+            gone.push(x);
+        }
+        gone
+    }
+
+    fn back(&mut self, b: LegBack) {
+        let id = b.leg.0 >> 8;
+        let Some(x) = self.xfers.get_mut(&id).filter(|x| x.node.is_some() && x.done.is_none()) else {
+            return;
+        };
+        let from = x.from;
+        if b.outcome != Outcome::Done {
+            // No second leg: the client is told what is known.
+            let never = !b.outcome.may_have_run();
+            let alone = self.commands.get(&from).is_some_and(|ids| ids.len() == 1);
+            let safe = never && alone
+                || self.settings.streams[x.stream].effect == tackmast::interface::Effect::Repeatable;
+            self.forget(from);
+            return self
+                .answer(from, if safe { Verdict::Deferred { come_back: None } } else { Verdict::Abandoned });
+        }
+        x.done = Some(b.data);
+        let shard = x.spec.shard;
+        *self.out.entry(shard).or_default() -= 1;
+        let all =
+            self.commands.get(&from).is_some_and(|ids| ids.iter().all(|i| self.xfers[i].done.is_some()));
+        if all {
+            let mut data = BytesMut::new();
+            self.forget(from).into_iter().filter_map(|x| x.done).for_each(|d| data.extend_from_slice(&d));
+            self.answer(from, Verdict::Done { data: data.freeze() });
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, to: u64, entries: &[ListEntry]) {
+        if kind == ListKind::Failed {
+            self.listed = false;
+            return;
+        }
+        (self.version, self.listed) = (to, true);
+        let known: Vec<_> = entries.iter().filter_map(|e| self.nodes.note(e)).collect();
+        if kind != ListKind::Changes {
+            self.nodes.only(&known);
+            self.serving.clear();
+        }
+        for e in known.iter().filter(|e| e.state == NodeState::Ready) {
+            self.serving.insert(e.shard, e.node);
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        while let Some((_, id)) = self.until.first().copied().filter(|(t, _)| *t <= now) {
+            self.until.pop_first();
+            let Some(from) = self.xfers.get(&id).map(|x| x.from) else { continue };
+            let ran = self.forget(from).iter().any(|x| x.node.is_some());
+            self.answer(from, if ran { Verdict::Abandoned } else { Verdict::Deferred { come_back: None } });
+        }
+    }
+
+    /// Tokens for the transfer are there, and taken.
+    fn draws(&mut self, now: Instant, volume: usize, units: f64) -> bool {
+        let v = self.layout.volume(volume);
+        let plan = &self.settings.plans[v.plan as usize];
+        if self.how != Plain::Buckets || plan.limit <= 0.0 {
+            return true;
+        }
+        let (rate, burst) = (plan.limit / f64::from(v.hosts), plan.burst / f64::from(v.hosts));
+        let (tokens, at) = self.tokens.entry(volume).or_insert((burst, now));
+        *tokens = (*tokens + rate * (now - *at).secs()).min(burst);
+        *at = now;
+        let fits = *tokens >= units;
+        *tokens -= if fits { units } else { 0.0 };
+        fits
+    }
+
+    fn next(&mut self, now: Instant) -> Option<Output> {
+        if let Some(o) = self.outputs.pop_front() {
+            return Some(o);
+        }
+        if !self.listed && self.version == 0 {
+            self.version = 1;
+            return Some(Output::FollowList { since: 0 });
+        }
+        let shards: Vec<ShardId> = self.queues.keys().copied().collect();
+        for shard in shards {
+            let Some(node) = self.serving.get(&shard).copied() else { continue };
+            if self.how == Plain::Caps && self.out.get(&shard).copied().unwrap_or(0) >= CAP {
+                continue;
+            }
+            while let Some(id) = self.queues.get(&shard).and_then(|q| q.front().copied()) {
+                let Some((volume, units)) = self.xfers.get(&id).map(|x| (x.volume, x.spec.units)) else {
+                    self.queues.entry(shard).or_default().pop_front();
+                    continue;
+                };
+                if !self.draws(now, volume, units) {
+                    break;
+                }
+                self.queues.entry(shard).or_default().pop_front();
+                return self.send(id, shard, node);
+            }
+            if self.queues.get(&shard).is_some_and(VecDeque::is_empty) {
+                self.queues.remove(&shard);
+            }
+        }
+        None
+    }
+
+    fn send(&mut self, id: u64, shard: ShardId, node: NodeId) -> Option<Output> {
+        let x = self.xfers.get_mut(&id)?;
+        x.node = Some(node);
+        *self.out.entry(shard).or_default() += 1;
+        let v = self.layout.volume(x.volume);
+        let work = match &x.data {
+            Some(data) => LegWork::Write { data: data.clone() },
+            None => LegWork::Read { length: x.spec.blocks * v.block_bytes },
+        };
+        Some(Output::Send(Box::new(SendLeg {
+            node,
+            leg: LegId(id << 8),
+            xfer: id,
+            leg_no: 0,
+            from: x.from,
+            part: x.part,
+            until: x.expiry,
+            mark: 0,
+            key: if self.settings.streams[x.stream].in_order { x.spec.key } else { 0 },
+            volume: v.lun,
+            offset: x.spec.block * u64::from(v.block_bytes),
+            units: x.spec.units,
+            work,
+            ticket: Ticket::default(),
+        })))
+    }
+
+    fn wake(&self, now: Instant) -> Option<Instant> {
+        let expiry = self.until.first().map(|(t, _)| *t);
+        // Tokens come with time.
+        let tokens =
+            (self.how == Plain::Buckets && !self.queues.is_empty()).then(|| now + Span::from_secs(0.005));
+        [expiry, tokens].into_iter().flatten().min()
+    }
+}
+
+/// One face for both.
+impl Heart {
+    pub fn core(&mut self) -> Option<&mut Core> {
+        match self {
+            Heart::Core(c) => Some(c),
+            Heart::Plain(_) => None,
+        }
+    }
+
+    pub fn layout(&self) -> &Layout {
+        match self {
+            Heart::Core(c) => c.layout(),
+            Heart::Plain(p) => &p.layout,
+        }
+    }
+
+    pub fn nodes(&self) -> &Nodes {
+        match self {
+            Heart::Core(c) => c.nodes(),
+            Heart::Plain(p) => &p.nodes,
+        }
+    }
+
+    pub fn open(&self) -> (usize, usize, usize) {
+        match self {
+            Heart::Core(c) => c.open(),
+            Heart::Plain(p) => (p.commands.len(), p.xfers.len(), p.out.values().sum()),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)] // as the host core has them
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: Work,
+        began: Instant,
+        asked: Option<Span>,
+    ) {
+        match self {
+            Heart::Core(c) => c.submit(now, from, lun, block, work, began, asked, None),
+            Heart::Plain(p) => p.submit(now, from, lun, block, &work, asked),
+        }
+    }
+
+    pub fn abort(&mut self, now: Instant, from: CommandRef) {
+        match self {
+            Heart::Core(c) => c.abort(now, from),
+            Heart::Plain(p) => _ = p.forget(from),
+        }
+    }
+
+    pub fn session_gone(&mut self, now: Instant, session: u32) {
+        match self {
+            Heart::Core(c) => c.session_gone(now, session),
+            Heart::Plain(p) => {
+                let open: Vec<CommandRef> =
+                    p.commands.keys().filter(|c| c.session == session).copied().collect();
+                open.into_iter().for_each(|c| _ = p.forget(c));
+            }
+        }
+    }
+
+    pub fn leg_back(&mut self, now: Instant, back: LegBack) {
+        match self {
+            Heart::Core(c) => c.leg_back(now, back),
+            Heart::Plain(p) => p.back(back),
+        }
+    }
+
+    pub fn list_came(&mut self, now: Instant, kind: ListKind, from: u64, to: u64, entries: &[ListEntry]) {
+        match self {
+            Heart::Core(c) => c.list_came(now, kind, from, to, entries),
+            Heart::Plain(p) => p.list(kind, to, entries),
+        }
+    }
+
+    pub fn tick(&mut self, now: Instant) {
+        match self {
+            Heart::Core(c) => c.tick(now),
+            Heart::Plain(p) => p.tick(now),
+        }
+    }
+
+    pub fn next_output(&mut self, now: Instant) -> Option<Output> {
+        match self {
+            Heart::Core(c) => c.next_output(now),
+            Heart::Plain(p) => p.next(now),
+        }
+    }
+
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        match self {
+            Heart::Core(c) => c.next_wake(now),
+            Heart::Plain(p) => p.wake(now),
+        }
+    }
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -1,15 +1,20 @@
 //! The run: one queue of events by time, hosts, links, nodes, list and clients.
 
+use crate::clients::{data, Call, Client};
 use crate::draw::{Kind, World};
+use crate::plain::{Heart, Plain, PlainHost};
 use bytes::Bytes;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use tackmast::interface::{Instant, ListKind, NodeState, Outcome, ShardId, ZoneId};
+use tackmast::interface::{Instant, ListKind, NodeState, Outcome, ShardId, Span, ZoneId};
+use tackmast_clientcore::{Op, Outcome as CallOutcome, Output as ClientOutput, Place};
 use tackmast_config::HostSettings;
 use tackmast_hostcore::{
-    CommandRef, Core, LegBack, LegId, LegWork, ListEntry, Output, SendLeg, Verdict, Work,
+    Ask, CommandRef, Core, Keep, LegBack, LegId, LegWork, ListEntry, Output, Reply, SendLeg, Verdict, Work,
 };
+use tackmast_overrides::{Kind as OrderKind, Order, Override, OverrideId, Overrides, Target};
 use tackmast_standins::model::{How, Ills, Job, Model, Nature};
+use tackmast_target as target;
 use tackmast_trace::*;
 use tackmast_wire::node::{self, Answer, Frame, NodeOutcome, Origin};
 use tackmast_wire::reader::Frames;
@@ -27,6 +32,14 @@
 const COLD_FROM: f64 = 0.25;
 const FALL_S: f64 = 1.0;
 const EXPIRY: [Us; 3] = [1_200_000, 1_000_000, 1_000_000];
+const SLO: [Us; 3] = [200_000, 250_000, 250_000];
+/// Virtual time begins late enough that what is long past has a place before it.
+const START: Us = 100_000_000;
+/// The session of commands that come without a protocol; those of clients have numbers above.
+const BESIDE: u32 = 1;
+/// A client's call; clients wait as long as their sessions allow.
+const CALL: Us = 900_000;
+const ORDERS: tackmast_overrides::Settings = tackmast_overrides::Settings { most: 1000, zone_part: 0.7 };
 
 /// Deliberate faults, for the hunt to find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,8 +71,14 @@
     pub in_time: u64,
     pub deferred: u64,
     pub abandoned: u64,
-    /// Commands or legs left in hosts' tables after all is over.
+    /// Commands, legs or calls left in the tables of hosts and clients after all is over.
     pub stuck: usize,
+    /// Calls of clients that speak a protocol, those done, and those answered after their deadline.
+    pub calls: u64,
+    pub calls_done: u64,
+    pub calls_late: u64,
+    /// Overrides that hosts took, and refused.
+    pub orders: (u64, u64),
     pub events: u64,
     /// The most commands, transfers and legs that one host had open.
     pub most_open: (usize, usize, usize),
@@ -95,11 +114,22 @@
     NodeUp(u32),
     HostUp(u32),
     Leave(u32, u64, u32),
-    Answer(u32, u64, u32, AnswerKindOrd, u64),
+    Answer(u32, u64, CommandOrd, AnswerKindOrd, u64),
+    /// A client's connection is made, ends, or brings bytes to the host or the client; of a slot's life.
+    Connected(u32, usize, u64),
+    Closed(u32, usize, u64),
+    ToServer(u32, usize, u64, Vec<u8>),
+    ToClient(u32, usize, u64, Vec<u8>),
+    ClientTime(u32),
+    /// A node may be used again by its host: an override has ended.
+    OrderOver(u32, String),
+    /// The node's hello has come over a new link: how long it has been up.
+    Hello(u32, u64, u32, Us),
 }
 
-/// The answer's kind with an order, as events have one.
+/// The answer's kind and a command with an order, as events have one.
 type AnswerKindOrd = u8;
+type CommandOrd = (u32, u32);
 
 struct Link {
     life: u64,
@@ -107,18 +137,37 @@
     to_host: Frames,
     /// When the last bytes of each direction arrive: they keep their order.
     last: [Us; 2],
+    /// The least difference the node has seen between its clock and the host's, in microseconds.
+    offset: i64,
     legs: BTreeMap<u64, LegName>,
 }
 
+/// How a host's clocks go wrong: its steady one starts elsewhere and drifts, its wall clock is off.
+#[derive(Clone, Copy, Default)]
+struct Clock {
+    offset_us: i64,
+    drift: f64,
+    wall_off_us: i64,
+}
+
+/// What a host keeps over its lives.
+#[derive(Default)]
+struct Kept {
+    overrides: BTreeMap<OverrideId, Override>,
+    next: u64,
+}
+
 struct Host {
-    core: Core,
+    core: Heart,
     life: u64,
     up: bool,
     wake: Us,
     links: BTreeMap<u32, Link>,
     following: bool,
     next: u32,
-    submitted: BTreeMap<u32, (Us, Us)>, // command: when, SLO time
+    submitted: BTreeMap<(u32, u32), (Us, Us)>, // session and command: when, SLO time
+    sessions: BTreeMap<u32, (u32, usize, u64)>, // client, slot, its life
+    numbers: u16,
 }
 
 struct Held {
@@ -152,6 +201,13 @@
 struct Sim<'a> {
     w: &'a World,
     mutant: Option<Mutant>,
+    plain: Option<Plain>,
+    clocks: Vec<Clock>,
+    kept: Vec<Kept>,
+    clients: Vec<Client>,
+    clients_of: Vec<Vec<u32>>,
+    offer: std::sync::Arc<target::Offer>,
+    units: std::sync::Arc<Vec<tackmast_wire::scsi::Unit>>,
     settings: Vec<HostSettings>,
     now: Us,
     queue: BinaryHeap<Reverse<(Us, u64, Event)>>,
@@ -270,8 +326,15 @@
     HostSettings::parse("lab", &text).unwrap_or_else(|e| panic!("the lab's own settings: {e}"))
 }
 
-/// Plays a world to its end.
-pub fn run(w: &World, mutant: Option<Mutant>) -> Run {
+fn heart(now: Instant, s: &HostSettings, seed: u64, life: u64, plain: Option<Plain>) -> Heart {
+    match plain {
+        Some(how) => Heart::Plain(Box::new(PlainHost::new(how, s))),
+        None => Heart::Core(Box::new(Core::new(now, s, seed, life))),
+    }
+}
+
+/// Plays a world to its end, with the host core or with a plain host in its place.
+pub fn run(w: &World, mutant: Option<Mutant>, plain: Option<Plain>) -> Run {
     let nature = Nature {
         cores: w.cores,
         unit_s: w.unit_s,
@@ -297,12 +360,27 @@
         listed_start: 0,
         generation: 0,
     };
+    let all: Vec<HostSettings> = (0..w.hosts).map(|h| settings(w, h, mutant)).collect();
+    let first = heart(at(START), &all[0], 0, 0, plain);
+    let units = target::units(&all[0], |v| first.layout().most_blocks(v));
+    let mut odd = oorandom::Rand64::new(u128::from(w.seed) ^ 0x0063_6c6f_636b);
+    let mut clock = || {
+        let mut x = || 2.0 * odd.rand_float() - 1.0;
+        let (drift, wall_off_us) = (w.drift * x(), (w.wall_off_s * x() * 1e6) as i64);
+        Clock { offset_us: if w.drift > 0.0 { (40e6 * x()) as i64 } else { 0 }, drift, wall_off_us }
+    };
     let mut sim = Sim {
         w,
         mutant,
-        settings: (0..w.hosts).map(|h| settings(w, h, mutant)).collect(),
-        // Time begins late enough that what is long past has a place before it.
-        now: 100_000_000,
+        plain,
+        clocks: (0..w.hosts).map(|_| clock()).collect(),
+        kept: (0..w.hosts).map(|_| Kept::default()).collect(),
+        clients: Vec::new(),
+        clients_of: vec![Vec::new(); w.hosts as usize],
+        offer: std::sync::Arc::new(target::Offer::of(&all[0])),
+        units: std::sync::Arc::new(units),
+        settings: all,
+        now: START,
         queue: BinaryHeap::new(),
         number: 0,
         chance: oorandom::Rand64::new(u128::from(w.seed)),
@@ -326,6 +404,10 @@
             deferred: 0,
             abandoned: 0,
             stuck: 0,
+            calls: 0,
+            calls_done: 0,
+            calls_late: 0,
+            orders: (0, 0),
             events: 0,
             most_open: (0, 0, 0),
         },
@@ -336,6 +418,28 @@
 }
 
 impl Sim<'_> {
+    /// What a host's steady clock shows.
+    fn time(&self, h: u32) -> Instant {
+        self.time_at(h, self.now)
+    }
+
+    fn time_at(&self, h: u32, t: Us) -> Instant {
+        let c = self.clocks[h as usize];
+        let passed = t as i64 - START as i64;
+        at((t as i64 + c.offset_us + (passed as f64 * c.drift) as i64).max(0) as Us)
+    }
+
+    /// When a host's steady clock will show that.
+    fn when(&self, h: u32, t: Instant) -> Us {
+        let c = self.clocks[h as usize];
+        let shown = us(t) as i64 - c.offset_us - START as i64;
+        (START as i64 + (shown as f64 / (1.0 + c.drift)).ceil() as i64).max(0) as Us
+    }
+
+    fn wall(&self, h: u32) -> Us {
+        (self.now as i64 + self.clocks[h as usize].wall_off_us).max(0) as Us
+    }
+
     fn note(&mut self, event: tackmast_trace::Event) {
         self.run.trace.push(Line { t: self.now, event });
     }
@@ -357,6 +461,7 @@
             let host = self.new_host(h);
             self.hosts.push(host);
             self.note(Seen::HostUp { host: h });
+            self.add_clients(h);
             self.push(start, Event::HostTime(h));
             let first = start + (self.chance.rand_float() * 20_000.0) as Us;
             self.push(first, Event::Arrive(h));
@@ -380,6 +485,7 @@
             let (commands, xfers, legs) = h.core.open();
             self.run.stuck += commands + xfers + legs;
         }
+        self.run.stuck += self.clients.iter().map(|c| c.core.open()).sum::<usize>();
     }
 
     fn facts(&self) -> Facts {
@@ -418,14 +524,24 @@
             settle_us: 300_000,
             further: Some((3.0, 0.25, 2_000_000)),
             // The way of a message, one way and back, and the jitter of both.
-            skew_us: 2 * (self.w.delay_us + self.w.jitter_us) + 2000,
+            skew_us: 2 * (self.w.delay_us + self.w.jitter_us) + 2000 + (self.w.drift * 4e7) as Us,
         }
     }
 
     fn new_host(&mut self, h: u32) -> Host {
         self.lives += 1;
         let seed = self.w.seed ^ self.lives << 20;
-        let core = Core::new(at(self.now), &self.settings[h as usize], seed, self.lives);
+        let now = self.time(h);
+        let mut core = heart(now, &self.settings[h as usize], seed, self.lives, self.plain);
+        let wall = self.wall(h);
+        let kept = &mut self.kept[h as usize];
+        if let Some(core) = core.core().filter(|_| self.w.has_orders()) {
+            let records = kept.overrides.values().cloned().collect();
+            let (overrides, ended) = Overrides::new(now, wall, ORDERS, records, kept.next);
+            ended.iter().for_each(|e| _ = kept.overrides.remove(&e.record.id));
+            core.wall_seen(now, wall);
+            core.with_overrides(now, overrides, Keep::default());
+        }
         Host {
             core,
             life: self.lives,
@@ -435,6 +551,8 @@
             following: false,
             next: 0,
             submitted: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            numbers: BESIDE as u16,
         }
     }
 
@@ -471,7 +589,7 @@
             Event::ListFailed(h, life) => {
                 if self.hosts[h as usize].life == life && self.hosts[h as usize].up {
                     self.hosts[h as usize].following = false;
-                    let now = at(self.now);
+                    let now = self.time(h);
                     self.hosts[h as usize].core.list_came(now, ListKind::Failed, 0, 0, &[]);
                     self.pull(h);
                 }
@@ -486,16 +604,35 @@
             }
             Event::Leave(h, life, command) => {
                 let host = &mut self.hosts[h as usize];
-                if host.life == life && host.up && host.submitted.remove(&command).is_some() {
-                    self.note(tackmast_trace::Event::Left { host: h, session: 1, command });
-                    let from = CommandRef { session: 1, command };
-                    self.hosts[h as usize].core.abort(at(self.now), from);
+                if host.life == life && host.up && host.submitted.remove(&(BESIDE, command)).is_some() {
+                    self.note(tackmast_trace::Event::Left { host: h, session: BESIDE, command });
+                    let from = CommandRef { session: BESIDE, command };
+                    let now = self.time(h);
+                    self.hosts[h as usize].core.abort(now, from);
                     self.pull(h);
                 }
             }
             Event::Answer(h, life, command, kind, come_back_us) => {
                 self.answered(h, life, command, kind, come_back_us)
             }
+            Event::Connected(c, slot, life) => self.connected(c, slot, life),
+            Event::Closed(c, slot, life) => self.closed(c, slot, life),
+            Event::ToServer(c, slot, life, bytes) => self.server_gets(c, slot, life, &bytes),
+            Event::ToClient(c, slot, life, bytes) => {
+                if self.clients[c as usize].slots[slot].life == life {
+                    let now = at(self.now);
+                    self.clients[c as usize].core.took(now, slot, &bytes);
+                    self.client_pull(c);
+                }
+            }
+            Event::ClientTime(c) => {
+                self.clients[c as usize].wake = Us::MAX;
+                self.client_pull(c);
+            }
+            Event::OrderOver(host, node) => {
+                self.note(tackmast_trace::Event::Ordered { host, node, out: false });
+            }
+            Event::Hello(h, life, n, started) => self.hello(h, life, n, started),
         }
     }
 
@@ -514,42 +651,68 @@
         let blocks = self.chance.rand_range(1..25) as u32;
         let span = if write && lun == 0 { 640 } else { 50_000 };
         let block = self.chance.rand_range(0..span);
+        // One that speaks a protocol, in its turn.
+        if !self.clients_of[h as usize].is_empty() {
+            let i = self.chance.rand_range(0..self.clients_of[h as usize].len() as u64 + 1) as usize;
+            if let Some(c) = self.clients_of[h as usize].get(i).copied() {
+                return self.call(c, write, block, blocks);
+            }
+        }
+        let host = &mut self.hosts[h as usize];
+        host.next += 1;
+        let command = host.next;
+        let life = host.life;
+        let work = match write {
+            true => Work::Write { data: data(blocks * 512) },
+            false => Work::Read { blocks },
+        };
+        self.submit(h, CommandRef { session: BESIDE, command }, lun, block, work, self.now, None);
+        if self.chance.rand_float() < self.leave {
+            let later = self.now + self.chance.rand_range(0..400_000);
+            self.push(later, Event::Leave(h, life, command));
+        }
+        self.pull(h);
+    }
+
+    /// A command reaches its host, which knows it from `began` on.
+    #[allow(clippy::too_many_arguments)] // as the host core has them
+    fn submit(
+        &mut self,
+        h: u32,
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: Work,
+        began: Us,
+        asked: Option<Us>,
+    ) {
+        let (write, bytes) = match &work {
+            Work::Read { blocks } => (false, u64::from(*blocks) * 512),
+            Work::Write { data } => (true, data.len() as u64),
+        };
         let stream = match (write, lun) {
             (false, _) => 0,
             (true, 0) => 1,
             _ => 2,
         };
-        let host = &mut self.hosts[h as usize];
-        host.next += 1;
-        let command = host.next;
-        host.submitted.insert(command, (self.now, if write { 250_000 } else { 200_000 }));
-        let (expiry_us, life) = (EXPIRY[stream], host.life);
         self.run.asked += 1;
-        let (offset, bytes) = (block * 512, u64::from(blocks) * 512);
-        let (session, volume, stream) = (1, lun, stream as u32);
+        let (session, command) = (from.session, from.command);
+        let host = &mut self.hosts[h as usize];
+        host.submitted.insert((session, command), (began, SLO[stream]));
         self.note(tackmast_trace::Event::Submit {
             host: h,
             session,
             command,
-            volume,
-            stream,
+            volume: lun,
+            stream: stream as u32,
             write,
-            offset,
+            offset: block * 512,
             bytes,
-            expiry_us,
+            expiry_us: asked.unwrap_or(EXPIRY[stream]).saturating_sub(self.now - began),
         });
-        let work = match write {
-            true => Work::Write { data: Bytes::from(vec![0; bytes as usize]) },
-            false => Work::Read { blocks },
-        };
-        let now = at(self.now);
-        let from = CommandRef { session, command };
-        self.hosts[h as usize].core.submit(now, from, lun, block, work, now, None, None);
-        if self.chance.rand_float() < self.leave {
-            let later = self.now + self.chance.rand_range(0..400_000);
-            self.push(later, Event::Leave(h, life, command));
-        }
-        self.pull(h);
+        let (now, began) = (self.time(h), self.time_at(h, began));
+        let asked = asked.map(|us| Span::from_secs(us as f64 / 1e6));
+        self.hosts[h as usize].core.submit(now, from, lun, block, work, began, asked);
     }
 
     /// Carries out what the core wants done.
@@ -557,7 +720,7 @@
         if !self.hosts[h as usize].up {
             return;
         }
-        let now = at(self.now);
+        let now = self.time(h);
         self.hosts[h as usize].core.tick(now);
         while let Some(o) = self.hosts[h as usize].core.next_output(now) {
             match o {
@@ -566,25 +729,30 @@
                     let cancel = Frame::Cancel { leg: leg.0 }.to_bytes();
                     self.pass_on(h, node.0, &cancel, true);
                 }
-                Output::Answer { to, verdict } => self.answer(h, to.command, &verdict),
+                Output::Answer { to, verdict } => self.answer(h, to, verdict),
                 Output::FollowList { .. } | Output::FetchList => self.follow(h),
-                Output::Keep { .. } | Output::Reply { .. } | Output::Mode { .. } => {}
+                Output::Keep { request, keep } => self.keep(h, request, keep),
+                Output::Reply { reply, .. } => self.ordered(h, reply),
+                Output::Mode { .. } => {}
             }
         }
         let host = &mut self.hosts[h as usize];
         let open = host.core.open();
         let most = &mut self.run.most_open;
         *most = (most.0.max(open.0), most.1.max(open.1), most.2.max(open.2));
-        if let Some(t) = host.core.next_wake(now).map(us).filter(|t| *t < host.wake) {
+        let wake = host.core.next_wake(now);
+        let wake = wake.map(|t| self.when(h, t));
+        let host = &mut self.hosts[h as usize];
+        if let Some(t) = wake.filter(|t| *t < host.wake) {
             host.wake = t.max(self.now + 1);
             let t = host.wake;
             self.push(t, Event::HostTime(h));
         }
     }
 
-    fn answer(&mut self, h: u32, command: u32, verdict: &Verdict) {
+    fn answer(&mut self, h: u32, to: CommandRef, verdict: Verdict) {
         self.answers += 1;
-        let (kind, come_back_us) = match verdict {
+        let (kind, come_back_us) = match &verdict {
             Verdict::Done { .. } => (0, 0),
             Verdict::Deferred { come_back } => (1, come_back.map_or(0, |w| (w.secs() * 1e6) as u64)),
             Verdict::Abandoned if self.mutant == Some(Mutant::DeferredLie) => (1, 0),
@@ -592,16 +760,18 @@
         };
         let life = self.hosts[h as usize].life;
         let now = self.now;
+        let (session, command) = (to.session, to.command);
         let odd = self.answers.is_multiple_of(50);
         match self.mutant {
             Some(Mutant::AnswerLost) if odd => return,
             Some(Mutant::AnswerLate) if odd => {
-                return self.push(now + 1_200_000, Event::Answer(h, life, command, kind, come_back_us));
+                let late = Event::Answer(h, life, (session, command), kind, come_back_us);
+                return self.push(now + 1_200_000, late);
             }
             Some(Mutant::AnswerTwice) if odd => {
                 self.note(tackmast_trace::Event::Answer {
                     host: h,
-                    session: 1,
+                    session,
                     command,
                     kind: AnswerKind::Deferred,
                     come_back_us: 0,
@@ -609,16 +779,33 @@
             }
             _ => {}
         }
-        // Clients sit beside their hosts: what their way costs is no part of this model.
-        self.answered(h, life, command, kind, come_back_us);
+        // Commands without a protocol come from beside the host: what their way costs is no part of this model.
+        self.answered(h, life, (session, command), kind, come_back_us);
+        let Some((c, slot, slot_life)) = self.hosts[h as usize].sessions.get(&session).copied() else {
+            return;
+        };
+        let Some(pipe) = self.clients[c as usize].pipe_of(slot, slot_life) else { return };
+        pipe.session.answer(
+            command,
+            match verdict {
+                Verdict::Done { data } => target::Verdict::Done { data },
+                Verdict::Deferred { .. } => target::Verdict::Deferred { come_back_us },
+                Verdict::Abandoned => target::Verdict::Abandoned,
+            },
+        );
+        // What had to wait for this answer is read on from here.
+        if !pipe.session.is_paused() {
+            self.push(now, Event::ToServer(c, slot, slot_life, Vec::new()));
+        }
+        self.flush(c, slot, slot_life);
     }
 
-    fn answered(&mut self, h: u32, life: u64, command: u32, kind: u8, come_back_us: u64) {
+    fn answered(&mut self, h: u32, life: u64, of: CommandOrd, kind: u8, come_back_us: u64) {
         let host = &mut self.hosts[h as usize];
         if host.life != life {
             return;
         }
-        let Some((began, slo)) = host.submitted.remove(&command) else { return };
+        let Some((began, slo)) = host.submitted.remove(&of) else { return };
         let kind = [AnswerKind::Done, AnswerKind::Deferred, AnswerKind::Abandoned][usize::from(kind)];
         match kind {
             AnswerKind::Done => {
@@ -628,7 +815,8 @@
             AnswerKind::Deferred => self.run.deferred += 1,
             _ => self.run.abandoned += 1,
         }
-        self.note(tackmast_trace::Event::Answer { host: h, session: 1, command, kind, come_back_us });
+        let (session, command) = of;
+        self.note(tackmast_trace::Event::Answer { host: h, session, command, kind, come_back_us });
     }
 
     fn send(&mut self, h: u32, leg: SendLeg) {
@@ -641,6 +829,8 @@
             leg.ticket.withdraw();
             return self.push(t, Event::Refused(h, life, leg.leg.0));
         };
+        let now = self.time(h);
+        let left = ((leg.until - now).secs() * 1e6).max(0.0) as Us;
         leg.ticket.claim();
         leg.ticket.written();
         let name = LegName { host: h, life, xfer: leg.xfer, leg: leg.leg_no };
@@ -650,8 +840,8 @@
                 xfer: leg.xfer,
                 leg_no,
                 origin: Origin { session: leg.from.session, command: leg.from.command, part: leg.part },
-                sent_us: self.now,
-                left_us: us(leg.until).saturating_sub(self.now) as u32,
+                sent_us: us(now),
+                left_us: left as u32,
                 mark: leg.mark,
                 key: leg.key,
                 volume: leg.volume,
@@ -683,7 +873,7 @@
             units: leg.units,
             key: leg.key,
             mark: format!("{:x}", leg.mark),
-            left_us: us(leg.until).saturating_sub(self.now),
+            left_us: left,
         };
         let (first, second) = (seen(leg.leg_no), seen(leg.leg_no + 1));
         let bytes = frame(leg.leg_no);
@@ -721,14 +911,22 @@
     fn open_link(&mut self, h: u32, n: u32) {
         self.number += 1;
         let life = self.number;
+        // As the hello at the start of the link shows it.
+        let offset = self.now as i64 - us(self.time(h)) as i64 + self.w.delay_us as i64;
         let new = || Link {
             life,
             to_node: node::frames(1 << 20),
             to_host: node::frames(1 << 20),
             last: [0; 2],
+            offset,
             legs: BTreeMap::new(),
         };
-        self.hosts[h as usize].links.entry(n).or_insert_with(new);
+        let links = &mut self.hosts[h as usize].links;
+        if let std::collections::btree_map::Entry::Vacant(place) = links.entry(n) {
+            place.insert(new());
+            let (host_life, started) = (self.hosts[h as usize].life, self.nodes[n as usize].started);
+            self.push(self.now + 2 * self.w.delay_us, Event::Hello(h, host_life, n, started));
+        }
     }
 
     /// Bytes go on their way, cut where it happens; each direction keeps its order.
@@ -802,7 +1000,13 @@
             Held { host: h, life, link, leg: leg.leg, name, volume: leg.volume, units, read, mark: leg.mark };
         if !node.silent {
             node.held.insert(id, held);
-            let until = leg.sent_us + u64::from(leg.left_us);
+            let link = self.hosts[h as usize].links.get_mut(&n);
+            let offset = link.map_or(0, |l| {
+                l.offset = l.offset.min(now as i64 - leg.sent_us as i64);
+                l.offset
+            });
+            let until = (leg.sent_us as i64 + offset).max(0) as Us + u64::from(leg.left_us);
+            let node = &mut self.nodes[n as usize];
             let job = Job { id, units, write, key: leg.key, further: leg.leg_no > 0, until };
             node.model.arrive(now, job);
         }
@@ -875,7 +1079,7 @@
                 }
             }
         }
-        let now = at(self.now);
+        let now = self.time(h);
         for a in backs {
             let outcome = match a.outcome {
                 NodeOutcome::Done => Outcome::Done,
@@ -892,7 +1096,7 @@
 
     fn back(&mut self, h: u32, leg: u64, outcome: Outcome) {
         let back = LegBack { leg: LegId(leg), outcome, waiting: None, elsewhere: None, data: Bytes::new() };
-        let now = at(self.now);
+        let now = self.time(h);
         self.hosts[h as usize].core.leg_back(now, back);
     }
 
@@ -981,7 +1185,11 @@
                 started_us,
             });
             let ignored = self.mutant == Some(Mutant::GraceIgnored);
-            let cold = (started_us > 0 && self.mutant != Some(Mutant::ColdIgnored)).then(|| at(started_us));
+            let cold = (started_us > 0 && self.mutant != Some(Mutant::ColdIgnored)).then(|| {
+                // By this host's wall clock, right or wrong.
+                let age = self.wall(h) as f64 / 1e6 - started_us as f64 / 1e6;
+                self.time(h) - Span::from_secs(age)
+            });
             lines.push(ListEntry {
                 address: address.clone(),
                 state: if ignored { NodeState::Ready } else { state },
@@ -1002,7 +1210,7 @@
         for node in gone {
             self.note(tackmast_trace::Event::Told { host: h, node, state: ListedState::Gone, started_us: 0 });
         }
-        let now = at(self.now);
+        let now = self.time(h);
         self.hosts[h as usize].core.list_came(now, ListKind::Complete, 0, version, &lines);
         self.pull(h);
     }
@@ -1123,6 +1331,9 @@
             Kind::Resets if on => self.all_links_down(n),
             Kind::Surge(x) => self.surge = if on { x } else { 1.0 },
             Kind::Leave(x) => self.leave = if on { x } else { 0.0 },
+            Kind::Order(kind, all) if on => self.order(t.host.filter(|_| !all), n, kind, t.for_us),
+            Kind::Hangup(x) if on => self.hang_up(x),
+            Kind::Order(..) | Kind::Hangup(_) => {}
             Kind::Pause | Kind::Restart | Kind::MassRestart | Kind::Resets => {}
         }
     }
@@ -1138,6 +1349,7 @@
         host.up = false;
         host.following = false;
         host.submitted.clear();
+        let sessions = std::mem::take(&mut host.sessions);
         let (life, links) = (host.life, std::mem::take(&mut host.links));
         for (n, l) in links {
             let node = self.nodes[n as usize].address.clone();
@@ -1145,5 +1357,290 @@
             self.note(tackmast_trace::Event::LinkDown { node, host: h, life, legs });
         }
         self.note(tackmast_trace::Event::HostDown { host: h });
+        for (c, slot, slot_life) in sessions.into_values() {
+            self.clients[c as usize].slots[slot].pipe = None;
+            self.push(self.now + self.w.delay_us, Event::Closed(c, slot, slot_life));
+        }
+    }
+}
+
+/// Operators' orders.
+impl Sim<'_> {
+    /// An order at one host or at all.
+    fn order(&mut self, host: Option<u32>, n: u32, kind: OrderKind, for_us: Us) {
+        let Ok(address) = self.nodes[n as usize].address.parse() else { return };
+        let (reason, who, seconds) = ("drawn".into(), "lab".into(), for_us as f64 / 1e6);
+        let order = Order { target: Target::Node(address), kind, reason, who, seconds };
+        for h in (0..self.w.hosts).filter(|h| host.is_none_or(|x| x == *h)) {
+            if !self.hosts[h as usize].up {
+                continue;
+            }
+            let (now, order) = (self.time(h), order.clone());
+            let ask = Ask::Set { order, force: false, dry_run: false, if_version: None };
+            if let Some(core) = self.hosts[h as usize].core.core() {
+                core.ask(now, 1, ask);
+            }
+            self.pull(h);
+        }
+    }
+
+    /// The host's store takes all it is given.
+    fn keep(&mut self, h: u32, request: u64, keep: Keep) {
+        let kept = &mut self.kept[h as usize];
+        for o in keep.put {
+            kept.next = kept.next.max(o.id.0 + 1);
+            kept.overrides.insert(o.id, o);
+        }
+        keep.remove.iter().for_each(|id| _ = kept.overrides.remove(id));
+        let now = self.time(h);
+        if let Some(core) = self.hosts[h as usize].core.core().filter(|_| request > 0) {
+            core.kept(now, request, Ok(()));
+        }
+    }
+
+    fn ordered(&mut self, host: u32, reply: Reply) {
+        match reply {
+            Reply::Set { record, preview, dry_run: false } => {
+                self.run.orders.0 += 1;
+                let left = record.ends_us.saturating_sub(record.set_us);
+                for (node, _, _) in preview.changes.iter().filter(|_| record.kind == OrderKind::OutOfService)
+                {
+                    let node = node.to_string();
+                    self.note(tackmast_trace::Event::Ordered { host, node: node.clone(), out: true });
+                    // By the host's own steady clock, which may be a little early.
+                    let early = (left as f64 * self.w.drift) as Us;
+                    self.push(self.now + left - early, Event::OrderOver(host, node));
+                }
+            }
+            Reply::Refused(_) => self.run.orders.1 += 1,
+            _ => {}
+        }
+    }
+
+    fn hello(&mut self, h: u32, life: u64, n: u32, started: Us) {
+        let node = &self.nodes[n as usize];
+        let host = &self.hosts[h as usize];
+        if host.life != life || !host.up || node.started != started {
+            return;
+        }
+        // One that was up when time began has been so for long.
+        let up = if started == 0 { 86_400.0 } else { (self.now - started) as f64 / 1e6 };
+        let (now, number) = (self.time(h), host.core.nodes().number(&node.address));
+        if let Some((core, number)) = self.hosts[h as usize].core.core().zip(number) {
+            core.node_said_up(now, number, Span::from_secs(up));
+        }
+        self.pull(h);
+    }
+}
+
+/// Clients of both protocols.
+impl Sim<'_> {
+    fn add_clients(&mut self, h: u32) {
+        for (i, nbd) in [(0, false), (1, true)] {
+            for _ in 0..self.w.clients[i] {
+                let lun = u32::from(h < self.w.hosts.min(3) && self.clients.len() % 3 == 1);
+                let target = self.settings[h as usize].host.target.clone();
+                let name = if lun == 1 { "school" } else { "museum" }.into();
+                let c = self.clients.len() as u32;
+                let seed = self.w.seed << 16 | u64::from(c);
+                self.clients.push(Client::new(at(self.now), h, nbd, Place { target, lun, name }, seed));
+                self.clients_of[h as usize].push(c);
+                self.push(self.now, Event::ClientTime(c));
+            }
+        }
+    }
+
+    fn call(&mut self, c: u32, write: bool, block: u64, blocks: u32) {
+        let now = self.now;
+        let client = &mut self.clients[c as usize];
+        client.next += 1;
+        let (number, deadline) = (client.next, now + CALL);
+        let op = match write {
+            true => Op::Write { offset: block * 512, data: data(blocks * 512) },
+            false => Op::Read { offset: block * 512, length: blocks * 512 },
+        };
+        let slo = SLO[if write { 1 + client.lun as usize } else { 0 }];
+        client.calls.insert(number, Call { began: now, deadline, slo });
+        client.core.call(at(now), number, op, at(deadline));
+        self.run.calls += 1;
+        self.client_pull(c);
+    }
+
+    fn client_pull(&mut self, c: u32) {
+        let now = self.now;
+        self.clients[c as usize].core.tick(at(now));
+        while let Some(o) = self.clients[c as usize].core.next_output() {
+            match o {
+                ClientOutput::Connect { slot } => {
+                    self.number += 1;
+                    let life = self.number;
+                    self.clients[c as usize].slots[slot].life = life;
+                    self.push(now + 2 * self.w.delay_us, Event::Connected(c, slot, life));
+                }
+                ClientOutput::Write { slot, bytes } => {
+                    let life = self.clients[c as usize].slots[slot].life;
+                    self.carry(c, slot, life, &bytes, true);
+                }
+                ClientOutput::Close { slot } => {
+                    let life = std::mem::take(&mut self.clients[c as usize].slots[slot].life);
+                    self.drop_pipe(c, slot, life);
+                }
+                ClientOutput::Answer { call, outcome } => {
+                    let Some(x) = self.clients[c as usize].calls.remove(&call) else { continue };
+                    self.run.calls_done += u64::from(matches!(outcome, CallOutcome::Done(_)));
+                    self.run.calls_late += u64::from(now > x.deadline + 1000);
+                    _ = (x.began, x.slo);
+                }
+                ClientOutput::Ready(_) | ClientOutput::Refused(_) => {}
+            }
+        }
+        let client = &mut self.clients[c as usize];
+        if let Some(t) = client.core.next_wake(at(now)).map(us).filter(|t| *t < client.wake) {
+            client.wake = t.max(now + 1);
+            let t = client.wake;
+            self.push(t, Event::ClientTime(c));
+        }
+    }
+
+    /// Bytes of a client's connection go on their way, cut where it happens.
+    fn carry(&mut self, c: u32, slot: usize, life: u64, bytes: &[u8], up: bool) {
+        let cut = self.chance.rand_range(0..bytes.len() as u64 + 1) as usize;
+        let parts = [&bytes[..cut], &bytes[cut..]];
+        for part in parts.into_iter().filter(|p| !p.is_empty()) {
+            let jitter = if self.w.jitter_us > 0 { self.chance.rand_range(0..self.w.jitter_us) } else { 0 };
+            let t = self.now + self.w.delay_us + jitter;
+            let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) else { return };
+            let last = &mut pipe.last[usize::from(!up)];
+            *last = t.max(*last + 1);
+            let (t, bytes) = (*last, part.to_vec());
+            self.push(
+                t,
+                if up {
+                    Event::ToServer(c, slot, life, bytes)
+                } else {
+                    Event::ToClient(c, slot, life, bytes)
+                },
+            );
+        }
+    }
+
+    fn connected(&mut self, c: u32, slot: usize, life: u64) {
+        let client = &mut self.clients[c as usize];
+        if client.slots[slot].life != life {
+            return;
+        }
+        let h = client.host;
+        let host = &mut self.hosts[h as usize];
+        if !host.up {
+            client.slots[slot].life = 0;
+            client.core.closed(at(self.now), slot);
+            return self.client_pull(c);
+        }
+        host.numbers += 1;
+        let number = host.numbers;
+        host.sessions.insert(u32::from(number), (c, slot, life));
+        let pipe = client.pipe(&self.offer, &self.units, number);
+        client.slots[slot].pipe = Some(pipe);
+        client.core.connected(slot);
+        self.flush(c, slot, life);
+        self.client_pull(c);
+    }
+
+    /// The connection is at its end for the client.
+    fn closed(&mut self, c: u32, slot: usize, life: u64) {
+        if self.clients[c as usize].slots[slot].life != life {
+            return;
+        }
+        self.clients[c as usize].slots[slot].life = 0;
+        self.drop_pipe(c, slot, life);
+        self.clients[c as usize].core.closed(at(self.now), slot);
+        self.client_pull(c);
+    }
+
+    /// The connection is at its end for the host: what it had open has nobody who waits.
+    fn drop_pipe(&mut self, c: u32, slot: usize, life: u64) {
+        let Some(pipe) = self.clients[c as usize].slots[slot].pipe.take() else { return };
+        let h = self.clients[c as usize].host;
+        let host = &mut self.hosts[h as usize];
+        if host.sessions.get(&pipe.number) != Some(&(c, slot, life)) {
+            return;
+        }
+        host.sessions.remove(&pipe.number);
+        let session = pipe.number;
+        let open: Vec<u32> =
+            host.submitted.range((session, 0)..(session + 1, 0)).map(|((_, c), _)| *c).collect();
+        for command in open {
+            self.hosts[h as usize].submitted.remove(&(session, command));
+            self.note(tackmast_trace::Event::Left { host: h, session, command });
+        }
+        let now = self.time(h);
+        self.hosts[h as usize].core.session_gone(now, session);
+        self.pull(h);
+    }
+
+    fn server_gets(&mut self, c: u32, slot: usize, life: u64, bytes: &[u8]) {
+        let (h, now) = (self.clients[c as usize].host, self.now);
+        let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) else { return };
+        let failed = pipe.session.take(bytes).is_err();
+        let session = pipe.number;
+        let mut events = Vec::new();
+        while let Some(e) = pipe.session.next_event() {
+            events.push(e);
+        }
+        for e in events {
+            match e {
+                target::Event::Begun { command } => {
+                    if let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) {
+                        pipe.began.insert(command, now);
+                    }
+                }
+                target::Event::Submit { command, lun, block, work, expiry_ms } => {
+                    let pipe = self.clients[c as usize].pipe_of(slot, life);
+                    let began = pipe.and_then(|p| p.began.remove(&command)).unwrap_or(now);
+                    let work = match work {
+                        target::Work::Read { blocks } => Work::Read { blocks },
+                        target::Work::Write { data } => Work::Write { data },
+                    };
+                    let asked = expiry_ms.map(|ms| u64::from(ms) * 1000);
+                    self.submit(h, CommandRef { session, command }, lun, block, work, began, asked);
+                }
+                target::Event::Abort { command } => {
+                    if self.hosts[h as usize].submitted.remove(&(session, command)).is_some() {
+                        self.note(tackmast_trace::Event::Left { host: h, session, command });
+                    }
+                    let at_host = self.time(h);
+                    self.hosts[h as usize].core.abort(at_host, CommandRef { session, command });
+                }
+                target::Event::Close(_) | target::Event::Note(_) => {}
+            }
+        }
+        self.flush(c, slot, life);
+        self.pull(h);
+        let over = self.clients[c as usize].pipe_of(slot, life).is_some_and(|p| p.session.is_over());
+        if failed || over {
+            self.drop_pipe(c, slot, life);
+            self.push(now + self.w.delay_us, Event::Closed(c, slot, life));
+        }
+    }
+
+    /// What a session has to say goes on its way.
+    fn flush(&mut self, c: u32, slot: usize, life: u64) {
+        let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) else { return };
+        let bytes = pipe.session.output();
+        if !bytes.is_empty() {
+            self.carry(c, slot, life, &bytes, false);
+        }
+    }
+
+    /// A part of all connections ends at once, at both sides.
+    fn hang_up(&mut self, part: f64) {
+        for c in 0..self.clients.len() as u32 {
+            for slot in 0..self.clients[c as usize].slots.len() {
+                let life = self.clients[c as usize].slots[slot].life;
+                if life > 0 && self.chance.rand_float() < part {
+                    self.closed(c, slot, life);
+                }
+            }
+        }
     }
 }
--- a/crates/target/src/negotiate.rs
+++ b/crates/target/src/negotiate.rs
@@ -1,6 +1,8 @@
 //! Text negotiation (RFC 7143, sections 6 and 13): what this target offers, and what comes out of it.
 
+use tackmast_config::HostSettings;
 use tackmast_wire::iscsi::Digests;
+use tackmast_wire::scsi::Unit;
 
 /// Vendor key (section 6.2): milliseconds until the client gives a command up.
 pub const EXPIRY_KEY: &str = "X-org.tackmast.ExpiryMs";
@@ -26,6 +28,35 @@
     pub expiry_ms: (u32, u32),
 }
 
+impl Offer {
+    /// What a host of these settings offers.
+    pub fn of(s: &HostSettings) -> Offer {
+        let b = &s.bounds;
+        let longest = s.streams.iter().map(|s| s.expiry.secs()).fold(1.0, f64::max);
+        Offer {
+            target_name: s.host.target.clone(),
+            most_segment: b.segment,
+            first_burst: b.first_burst,
+            most_burst: b.burst,
+            window: b.window,
+            most_command: b.command_bytes,
+            expiry_ms: (s.host.answer_lead_ms as u32 + 10, (longest * 1e4) as u32),
+        }
+    }
+}
+
+/// What the target tells of the volumes; `most_blocks` is the longest command of each, by its place in the settings.
+pub fn units(s: &HostSettings, most_blocks: impl Fn(usize) -> u32) -> Vec<Unit> {
+    let unit = |(i, v): (usize, &tackmast_config::Volume)| Unit {
+        lun: v.lun,
+        name: v.name.clone(),
+        blocks: v.blocks,
+        block_bytes: v.block_bytes,
+        most_blocks: most_blocks(i),
+    };
+    s.volumes.iter().enumerate().map(unit).collect()
+}
+
 /// What a session has agreed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Agreed {
