A stand-in node that reads nothing still knows when its host closed the link

A node that stops reading noted the end of a link when it read on, and not for legs it had not read by then; their keys' next legs, which their host rightly sent a settle wait after it had closed the link, seemed too early.

Change: the node polls for the peer's end without reading, and a leg read after it counts as ended by it.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -70,6 +70,16 @@
         "seed {}: {} hosts, {} nodes, {:.1} s, {:.1} commands a second a host; models, not machines",
         world.seed, world.hosts, world.nodes, world.seconds, world.rate
     );
+    println!(
+        "  clients {:?}, wall clocks off by up to {:.2} s, drift up to {:.0} ppm, list late by {:.0} ms, cold from {:.2}, multiple {:.2}, warm after {:.1} s",
+        world.clients,
+        world.wall_off_s,
+        world.drift * 1e6,
+        world.list_late_us as f64 / 1e3,
+        world.cold_from,
+        world.fall_multiple,
+        world.warm_s
+    );
     for t in &world.troubles {
         let host = t.host.map_or(String::new(), |h| format!(", host {h}"));
         let (at, long) = (t.at_us as f64 / 1e6, t.for_us as f64 / 1e6);
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -66,6 +66,10 @@
     /// Hosts' wall clocks are off by up to so many seconds, and their steady clocks drift by up to this part.
     pub wall_off_s: f64,
     pub drift: f64,
+    /// What part of its capacity a node starts with, and the multiple of what it can do at the moment that pushes it over.
+    pub cold_from: f64,
+    pub fall_multiple: f64,
+    pub warm_s: f64,
     pub troubles: Vec<Trouble>,
 }
 
@@ -93,6 +97,9 @@
             clients: [0; 2],
             wall_off_s: 0.0,
             drift: 0.0,
+            cold_from: 0.25,
+            fall_multiple: 2.0,
+            warm_s: 2.0,
             troubles: Vec::new(),
         };
         for number in 0..17u32 {
@@ -140,6 +147,13 @@
             self.wall_off_s = 0.05 * 10f64.powf(3.4 * c.rand_float());
             self.drift = 2e-4 * c.rand_float();
         }
+        if c.rand_float() < 0.5 {
+            self.cold_from = 0.04 + 0.2 * c.rand_float();
+            self.fall_multiple = 1.2 + 0.8 * c.rand_float();
+            self.warm_s = 2.0 + 6.0 * c.rand_float();
+            // A list that is nearly in time: hosts know of starts while nodes are at their coldest.
+            self.list_late_us = c.rand_range(1_000..100_000);
+        }
         let mut named = std::collections::BTreeSet::new();
         for number in 0..2u32 {
             while c.rand_float() < 0.33 {
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -28,8 +28,6 @@
 const MARKS: Us = 2_000_000;
 /// After the last arrival, until all that was due is past its time.
 const AFTER: Us = 2_500_000;
-const WARM_S: f64 = 2.0;
-const COLD_FROM: f64 = 0.25;
 const FALL_S: f64 = 1.0;
 const EXPIRY: [Us; 3] = [1_200_000, 1_000_000, 1_000_000];
 const SLO: [Us; 3] = [200_000, 250_000, 250_000];
@@ -242,9 +240,10 @@
     let shards = shards.join(", ");
     let capacity = f64::from(w.cores) / w.unit_s;
     let budget = "further_legs {\n  free = 3\n  share = 0.25\n  window_s = 2\n}\n";
+    let (from, multiple, warm) = (w.cold_from, w.fall_multiple, w.warm_s);
     let cold = format!(
-        "cold_nodes {{\n  safe_units = {}\n  from = {COLD_FROM}\n  warm_s = {WARM_S}\n  window_s = {FALL_S}\n  multiple = 2\n}}\n",
-        capacity * COLD_FROM * 2.0 * FALL_S
+        "cold_nodes {{\n  safe_units = {}\n  from = {from}\n  warm_s = {warm}\n  window_s = {FALL_S}\n  multiple = {multiple}\n}}\n",
+        capacity * from * multiple * FALL_S
     );
     let volume_hosts = w.hosts.min(3);
     let told = if mutant == Some(Mutant::LimitAlone) { 1 } else { volume_hosts };
@@ -339,9 +338,9 @@
         cores: w.cores,
         unit_s: w.unit_s,
         queue: 400,
-        cold_from: COLD_FROM,
-        warm_s: WARM_S,
-        fall_multiple: 2.0,
+        cold_from: w.cold_from,
+        warm_s: w.warm_s,
+        fall_multiple: w.fall_multiple,
         fall_s: FALL_S,
         ..Nature::default()
     };
@@ -518,7 +517,7 @@
             most_units: 8.0,
             answer_slack_us: 1000,
             grace_us: DRAIN_GRACE,
-            cold_multiple: 2.0,
+            cold_multiple: self.w.fall_multiple,
             cold_window_us: (FALL_S * 1e6) as Us,
             cold_safe_units: s.cold.as_ref().map_or(0.0, |c| c.safe_units),
             settle_us: 300_000,
@@ -559,7 +558,7 @@
     fn note_node_up(&mut self, n: usize, cold_from: f64) {
         let node = &self.nodes[n];
         let (address, capacity) = (node.address.clone(), node.model.capacity());
-        let warm_us = if cold_from < 1.0 { (WARM_S * 1e6) as Us } else { 0 };
+        let warm_us = if cold_from < 1.0 { (self.w.warm_s * 1e6) as Us } else { 0 };
         let (zone, shard) = (n as u32 % 3, n as u32);
         self.note(tackmast_trace::Event::NodeUp { node: address, zone, shard, capacity, cold_from, warm_us });
     }
@@ -1240,7 +1239,7 @@
         node.served.clear();
         node.total.clear();
         (node.listed, node.listed_start) = (NodeState::Ready, now);
-        self.note_node_up(n as usize, COLD_FROM);
+        self.note_node_up(n as usize, self.w.cold_from);
         self.tell();
     }
 
@@ -1376,7 +1375,8 @@
                 continue;
             }
             let (now, order) = (self.time(h), order.clone());
-            let ask = Ask::Set { order, force: false, dry_run: false, if_version: None };
+            // Each shard has one node here: taking it out of service needs force.
+            let ask = Ask::Set { order, force: true, dry_run: false, if_version: None };
             if let Some(core) = self.hosts[h as usize].core.core() {
                 core.ask(now, 1, ask);
             }
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -47,6 +47,7 @@
         (Mutant::LimitAlone, 6, 40),
         (Mutant::OrderIgnored, 6, 10),
         (Mutant::BudgetIgnored, 6, 40),
+        (Mutant::ColdIgnored, 12, 100),
     ] {
         let found = hunt(1, within, hosts, Some(mutant));
         let found = found.unwrap_or_else(|| panic!("{mutant:?}: not found within {within} seeds"));
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -318,7 +318,7 @@
 #[derive(Default)]
 struct Unread {
     come: Vec<(Us, u64)>,
-    /// When the peer reset the connection.
+    /// When the peer closed or reset the connection, which may stand behind bytes that nobody reads.
     ended: Option<Us>,
 }
 
@@ -331,7 +331,7 @@
                 self.come.push((now_us(), come));
             }
         }
-        if let Ok(Some(_)) = stream.take_error() {
+        if matches!(stream.take_error(), Ok(Some(_))) || hung_up(stream) {
             self.ended = self.ended.or(Some(now_us()));
         }
     }
@@ -341,6 +341,15 @@
     }
 }
 
+/// Whether the peer has closed its side, whatever is still unread.
+fn hung_up(stream: &TcpStream) -> bool {
+    use rustix::event::{poll, PollFd, PollFlags, Timespec};
+    let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut fds, Some(&at_once)).is_ok_and(|n| n > 0) && fds[0].revents().intersects(gone)
+}
+
 impl Inner {
     fn name(&self) -> String {
         self.address.to_string()
@@ -526,7 +535,12 @@
             // A node that stops reading leaves the bytes to the sockets, and remembers when they came.
             while lock(&self.state).ills.deaf && !self.over.load(Ordering::Acquire) {
                 let mut look = vec![0; 1 << 20];
+                let open = unread.ended.is_none();
                 unread.look(&stream, &mut look, total);
+                if let Some(t) = unread.ended.filter(|_| open) {
+                    // The host has had the end of these, long before this node reads on and finds out.
+                    self.note_link_down(&lock(&self.state), number, t);
+                }
                 std::thread::sleep(Duration::from_millis(2));
             }
             let n = match stream.read(&mut buffer) {
@@ -542,7 +556,7 @@
                     Ok(Some(frame)) => {
                         let end = total - frames.partial() as u64;
                         let came = unread.came(end).unwrap_or_else(now_us);
-                        if !self.frame(number, frame, &to, came) {
+                        if !self.frame(number, frame, &to, came, unread.ended) {
                             break 'link;
                         }
                     }
@@ -553,15 +567,20 @@
         }
         _ = stream.shutdown(Shutdown::Both);
         let mut s = lock(&self.state);
-        if let Some(c) = s.conns.remove(&number) {
+        self.note_link_down(&s, number, unread.ended.unwrap_or_else(now_us));
+        s.conns.remove(&number);
+    }
+
+    fn note_link_down(&self, s: &State, number: u64, t: Us) {
+        if let Some(c) = s.conns.get(&number) {
             let legs = s.held.values().filter(|h| h.conn == number).map(|h| h.name).collect();
             let event = Event::LinkDown { node: self.name(), host: c.host, life: c.life, legs };
-            self.settings.recorder.note_at(unread.ended.unwrap_or_else(now_us), event);
+            self.settings.recorder.note_at(t, event);
         }
     }
 
     /// False: the connection is at its end.
-    fn frame(&self, conn: u64, frame: Frame, to: &Sender<Bytes>, came: Us) -> bool {
+    fn frame(&self, conn: u64, frame: Frame, to: &Sender<Bytes>, came: Us, ended: Option<Us>) -> bool {
         let mut s = lock(&self.state);
         if !s.up {
             return false;
@@ -614,6 +633,11 @@
                 };
                 if self.settings.recorder.is_on() {
                     self.settings.recorder.note_at(came, leg_event());
+                    if let Some(t) = ended {
+                        // Read only after its host had closed the link, and so had the end of it.
+                        let event = Event::LinkDown { node: self.name(), host, life, legs: vec![name] };
+                        self.settings.recorder.note_at(t.max(came), event);
+                    }
                 }
                 if silent {
                     return true;
