--- a/crates/target/tests/damaged.rs
+++ b/crates/target/tests/damaged.rs
@@ -79,10 +79,10 @@
 }
 
 /// Feeds the bytes; each submitted command is answered, and a second answer must not be taken.
-fn feed(s: &mut AnySession, bytes: &[u8]) -> (Vec<Event>, usize) {
+fn feed(s: &mut AnySession, bytes: &[u8], piece: usize) -> (Vec<Event>, usize) {
     let mut events = Vec::new();
     let mut out = 0;
-    for piece in bytes.chunks(100) {
+    for piece in bytes.chunks(piece) {
         let taken = s.take(piece);
         while let Some(e) = s.next_event() {
             if let Event::Submit { command, work, .. } = &e {
@@ -111,7 +111,7 @@
     for is_nbd in [false, true] {
         let bytes = if is_nbd { nbd_stream() } else { iscsi_stream() };
         let mut s = session(is_nbd);
-        let (events, out) = feed(&mut s, &bytes);
+        let (events, out) = feed(&mut s, &bytes, 100);
         let submitted: Vec<(u64, bool)> = events
             .iter()
             .filter_map(|e| match e {
@@ -124,6 +124,19 @@
     }
 }
 
+/// Inputs that a fuzzer kept, since each reached code that none before it had: `fuzz/targets/sessions.rs` made them.
+#[test]
+fn what_the_fuzzer_kept_harms_nobody() {
+    let kept = include_str!("../../../fuzz/kept/sessions.txt");
+    assert!(kept.lines().count() > 100);
+    for line in kept.lines() {
+        let byte = |i: usize| u8::from_str_radix(&line[2 * i..2 * i + 2], 16).unwrap();
+        let bytes: Vec<u8> = (0..line.len() / 2).map(byte).collect();
+        let piece = 1 + usize::from(bytes[0] >> 1);
+        feed(&mut session(bytes[0] & 1 == 1), &bytes[1..], piece);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
@@ -141,7 +154,7 @@
         }
         let at = cut.index(bytes.len());
         bytes.splice(at..at, insert);
-        feed(&mut session(is_nbd), &bytes);
+        feed(&mut session(is_nbd), &bytes, 100);
     }
 
     #[test]
@@ -150,10 +163,10 @@
         // At any point of the handshake.
         let valid = nbd_stream();
         let upto = [0, 4, 34][usize::from(stage)];
-        feed(&mut nbd, &valid[..upto]);
-        feed(&mut nbd, &bytes);
+        feed(&mut nbd, &valid[..upto], 100);
+        feed(&mut nbd, &bytes, 100);
         let mut iscsi = session(false);
-        feed(&mut iscsi, &bytes);
+        feed(&mut iscsi, &bytes, 100);
         _ = nbd::read_go(&Bytes::from(bytes));
     }
 }
--- a/crates/wire/tests/codecs.rs
+++ b/crates/wire/tests/codecs.rs
@@ -332,3 +332,24 @@
         assert_eq!(crc32c::crc32c(&bytes).to_le_bytes(), sum);
     }
 }
+
+/// Inputs that a fuzzer kept: `fuzz/targets/frames.rs` made them.
+#[test]
+fn what_the_fuzzer_kept_decodes_to_what_it_encodes_to() {
+    let kept = include_str!("../../../fuzz/kept/frames.txt");
+    let mut decoded = 0;
+    for line in kept.lines() {
+        let byte = |i: usize| u8::from_str_radix(&line[2 * i..2 * i + 2], 16).unwrap();
+        let bytes: Vec<u8> = (0..line.len() / 2).map(byte).collect();
+        let body = Bytes::copy_from_slice(&bytes[1..]);
+        if let (0, Ok(frame)) = (bytes[0] & 1, node::Frame::decode(body.clone())) {
+            assert_eq!(node::Frame::decode(frame.to_bytes().slice(4..)).as_ref(), Ok(&frame));
+            decoded += 1;
+        }
+        if let (1, Ok(frame)) = (bytes[0] & 1, list::Frame::decode(body)) {
+            assert_eq!(list::Frame::decode(frame.to_bytes().slice(4..)).as_ref(), Ok(&frame));
+            decoded += 1;
+        }
+    }
+    assert!(decoded > 10, "{decoded}");
+}
