--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tackmast_lab::{play, shrink, World};
+use tackmast_lab::{compare, page, play, shrink, Change, Plain, Variant, World};
 
 #[derive(clap::Subcommand)]
 pub enum LabCommand {
@@ -22,6 +22,24 @@
         /// Commands a second at each host, in place of those drawn.
         #[arg(long)]
         rate: Option<f64>,
+        /// A page with pictures of the run: service, stores, percentiles, legs by node.
+        #[arg(long)]
+        report: Option<std::path::PathBuf>,
+    },
+    /// Plays the same seeds under two variants and tells the medians and their differences, each with the interval that
+    /// holds the median with 95% by the sign test. A variant is an HCL file: `plain` (fcfs, caps or buckets, in place of the
+    /// host core) and a block `change` of values in place of those drawn.
+    Compare {
+        a: std::path::PathBuf,
+        b: std::path::PathBuf,
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        #[arg(long, default_value_t = 20)]
+        hosts: u32,
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
     },
     /// Plays one seed after the other on all cores, until a rule breaks or the time is up. A find is made smaller, and
     /// printed with its seed.
@@ -40,7 +58,7 @@
 
 pub fn run(command: LabCommand) -> Result<ExitCode, String> {
     match command {
-        LabCommand::Play { seed, hosts, seconds, nodes, rate } => {
+        LabCommand::Play { seed, hosts, seconds, nodes, rate, report } => {
             if !(1..=1000).contains(&hosts) || nodes.is_some_and(|n| !(1..=1000).contains(&n)) {
                 return Err(format!("--hosts {hosts}; expected 1 to 1000, and as many nodes at most"));
             }
@@ -51,7 +69,12 @@
             world.troubles.retain(|t| t.node < world.nodes);
             let started = Instant::now();
             let found = play(&world, None);
-            print(&world, &found);
+            let text = shown(&world, &found);
+            print!("{text}");
+            if let Some(path) = report {
+                std::fs::write(&path, page(&world, &found, &text)?)
+                    .map_err(|e| format!("{}: {e}", path.display()))?;
+            }
             println!(
                 "{:.2} s of wall time, trace digest {:08x}",
                 started.elapsed().as_secs_f64(),
@@ -59,18 +82,62 @@
             );
             Ok(ExitCode::from(u8::from(found.is_bad())))
         }
+        LabCommand::Compare { a, b, seeds, first, hosts, threads } => {
+            if !(1..=100_000).contains(&seeds) || !(1..=300).contains(&hosts) {
+                return Err(format!("--seeds {seeds} --hosts {hosts}; expected 1 to 100000 and 1 to 300"));
+            }
+            let (va, vb) = (variant(&a)?, variant(&b)?);
+            println!(
+                "A is {}, B is {}; {seeds} seeds from {first} on; models, not machines",
+                a.display(),
+                b.display()
+            );
+            println!("{:<24} {:>10} {:>10} {:>10}  interval of the difference", "median", "A", "B", "B - A");
+            for l in compare(&va, &vb, first, seeds, hosts, threads) {
+                let interval =
+                    l.interval.map_or("too few pairs".into(), |(x, y)| format!("{x:.3} to {y:.3}"));
+                println!("{:<24} {:>10.3} {:>10.3} {:>10.3}  {interval}", l.name, l.a, l.b, l.difference);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         LabCommand::Hunt { minutes, first, hosts, threads } => {
             hunt(minutes, first, hosts.clamp(1, 300), threads)
         }
     }
 }
 
-fn print(world: &World, found: &tackmast_lab::Found) {
-    println!(
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VariantFile {
+    plain: Option<String>,
+    #[serde(default)]
+    change: Change,
+}
+
+fn variant(path: &std::path::Path) -> Result<Variant, String> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let file: VariantFile = hcl::from_str(&text).map_err(|e| format!("{name}: {e}"))?;
+    let plain = match file.plain.as_deref() {
+        None => None,
+        Some("fcfs") => Some(Plain::Fcfs),
+        Some("caps") => Some(Plain::Caps),
+        Some("buckets") => Some(Plain::Buckets),
+        Some(other) => return Err(format!("{name}: plain: {other:?}; expected fcfs, caps or buckets")),
+    };
+    Ok(Variant { plain, change: file.change })
+}
+
+fn shown(world: &World, found: &tackmast_lab::Found) -> String {
+    use std::fmt::Write;
+    let mut out = String::new();
+    _ = writeln!(
+        out,
         "seed {}: {} hosts, {} nodes, {:.1} s, {:.1} commands a second a host; models, not machines",
         world.seed, world.hosts, world.nodes, world.seconds, world.rate
     );
-    println!(
+    _ = writeln!(
+        out,
         "  clients {:?}, wall clocks off by up to {:.2} s, drift up to {:.0} ppm, list late by {:.0} ms, cold from {:.2}, multiple {:.2}, warm after {:.1} s",
         world.clients,
         world.wall_off_s,
@@ -83,10 +150,11 @@
     for t in &world.troubles {
         let host = t.host.map_or(String::new(), |h| format!(", host {h}"));
         let (at, long) = (t.at_us as f64 / 1e6, t.for_us as f64 / 1e6);
-        println!("  at {at:.2} s for {long:.2} s: {:?}, node {}{host}", t.kind, t.node);
+        _ = writeln!(out, "  at {at:.2} s for {long:.2} s: {:?}, node {}{host}", t.kind, t.node);
     }
     let r = &found.run;
-    println!(
+    _ = writeln!(
+        out,
         "{} asked, {:.3} in time, {} done, {} deferred, {} abandoned; {} events; {} left in tables at the end",
         r.asked,
         r.in_time as f64 / r.asked.max(1) as f64,
@@ -96,15 +164,18 @@
         r.events,
         r.stuck
     );
-    println!(
+    _ = writeln!(
+        out,
         "{} calls through the libraries, {} done, {} late; {} orders taken, {} refused",
         r.calls, r.calls_done, r.calls_late, r.orders.0, r.orders.1
     );
-    println!(
+    _ = writeln!(
+        out,
         "most open at one host: {} commands, {} transfers, {} legs",
         r.most_open.0, r.most_open.1, r.most_open.2
     );
-    print!("{}", found.report);
+    _ = write!(out, "{}", found.report);
+    out
 }
 
 fn hunt(minutes: f64, first: u64, hosts: u32, threads: usize) -> Result<ExitCode, String> {
@@ -135,6 +206,6 @@
     };
     println!("seed {} is a find; made smaller:", world.seed);
     let less = shrink(&world, None);
-    print(&less, &play(&less, None));
+    print!("{}", shown(&less, &play(&less, None)));
     Ok(ExitCode::from(1))
 }
--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,138 @@
+//! Paired runs: the same worlds, the same seeds, under two ways of deciding; medians of the differences with intervals.
+
+use crate::{play_with, Found, Plain, World};
+use std::collections::BTreeMap;
+
+/// What is played: the host core, or a plain host; and what is changed in each drawn world.
+#[derive(Clone, Debug, Default)]
+pub struct Variant {
+    pub plain: Option<Plain>,
+    pub change: Change,
+}
+
+/// Values in place of those drawn.
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Change {
+    pub hosts: Option<u32>,
+    pub nodes: Option<u32>,
+    pub seconds: Option<f64>,
+    /// Times the drawn rate.
+    pub rate_times: Option<f64>,
+    pub no_troubles: bool,
+    /// Clients of each host that speak iSCSI-style, NBD.
+    pub clients: Option<[u32; 2]>,
+    pub wall_off_s: Option<f64>,
+    pub list_late_ms: Option<f64>,
+}
+
+impl Change {
+    pub fn of(&self, seed: u64, hosts: u32) -> World {
+        let mut w = World::draw(seed, self.hosts.unwrap_or(hosts));
+        w.nodes = self.nodes.unwrap_or(w.nodes);
+        w.seconds = self.seconds.unwrap_or(w.seconds);
+        w.rate *= self.rate_times.unwrap_or(1.0);
+        w.clients = self.clients.unwrap_or(w.clients);
+        w.wall_off_s = self.wall_off_s.unwrap_or(w.wall_off_s);
+        w.list_late_us = self.list_late_ms.map_or(w.list_late_us, |ms| (ms * 1e3) as u64);
+        w.troubles.retain(|t| !self.no_troubles && t.node < w.nodes && t.host.is_none_or(|h| h < w.hosts));
+        w
+    }
+}
+
+/// Figures of one run, by name.
+pub fn figures(f: &Found) -> BTreeMap<String, f64> {
+    let r = &f.run;
+    let asked = r.asked.max(1) as f64;
+    let mut all = BTreeMap::new();
+    let mut put = |name: &str, x: f64| _ = all.insert(name.to_owned(), x);
+    put("in time", r.in_time as f64 / asked);
+    put("done", r.done as f64 / asked);
+    put("deferred", r.deferred as f64 / asked);
+    put("abandoned", r.abandoned as f64 / asked);
+    put("rules broken", f.report.rules.iter().filter(|r| !r.breaks.is_empty()).count() as f64);
+    for (name, c) in &r.classes {
+        put(&format!("in time, {name}"), c.in_time as f64 / c.asked.max(1) as f64);
+        put(&format!("p99 ms, {name}"), c.times.value_at_quantile(0.99) as f64 / 1e3);
+    }
+    put("work wasted", r.wasted_units / r.sent_units.max(1.0));
+    put("limit used", r.limit_used);
+    all
+}
+
+/// The median and the interval that holds the median of all such pairs with at least 95%: order statistics of the sign
+/// test, which supposes nothing of the differences' shape. Fewer than six pairs have no such interval.
+pub fn median_with_interval(mut x: Vec<f64>) -> (f64, Option<(f64, f64)>) {
+    x.sort_by(f64::total_cmp);
+    let n = x.len();
+    if n == 0 {
+        return (f64::NAN, None);
+    }
+    let median = (x[(n - 1) / 2] + x[n / 2]) / 2.0;
+    // The largest k with P(Binomial(n, 1/2) < k) <= 2.5%.
+    let (mut k, mut below, mut term) = (0, 0.0, 0.5f64.powi(n as i32));
+    while k < n && below + term <= 0.025 {
+        below += term;
+        term *= (n - k) as f64 / (k + 1) as f64;
+        k += 1;
+    }
+    (median, (k > 0).then(|| (x[k - 1], x[n - k])))
+}
+
+pub struct Line {
+    pub name: String,
+    pub a: f64,
+    pub b: f64,
+    pub difference: f64,
+    pub interval: Option<(f64, f64)>,
+}
+
+/// Plays each seed under both; on so many threads.
+pub fn compare(a: &Variant, b: &Variant, first: u64, seeds: u64, hosts: u32, threads: usize) -> Vec<Line> {
+    let next = std::sync::atomic::AtomicU64::new(first);
+    let pairs = std::sync::Mutex::new(BTreeMap::new());
+    std::thread::scope(|s| {
+        for _ in 0..threads.clamp(1, 64) {
+            s.spawn(|| loop {
+                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                if seed >= first + seeds {
+                    return;
+                }
+                let one = |v: &Variant| figures(&play_with(&v.change.of(seed, hosts), None, v.plain));
+                let pair = (one(a), one(b));
+                pairs.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(seed, pair);
+            });
+        }
+    });
+    let pairs = pairs.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut names: Vec<String> = pairs.values().flat_map(|(a, _)| a.keys().cloned()).collect();
+    names.sort();
+    names.dedup();
+    let line = |name: String| {
+        let both = pairs.values().filter_map(|(a, b)| Some((*a.get(&name)?, *b.get(&name)?)));
+        let both: Vec<(f64, f64)> = both.collect();
+        let (a, _) = median_with_interval(both.iter().map(|p| p.0).collect());
+        let (b, _) = median_with_interval(both.iter().map(|p| p.1).collect());
+        let (difference, interval) = median_with_interval(both.iter().map(|p| p.1 - p.0).collect());
+        Line { name, a, b, difference, interval }
+    };
+    names.into_iter().map(line).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_interval_is_that_of_the_sign_test() {
+        // Pairs, and the places of its ends: from tables of the sign test at 95%.
+        for (n, low, high) in
+            [(5, None, None), (6, Some(0), Some(5)), (10, Some(1), Some(8)), (20, Some(5), Some(14))]
+        {
+            let (median, interval) = median_with_interval((0..n).rev().map(f64::from).collect());
+            assert_eq!(median, f64::from(n - 1) / 2.0);
+            let found = (interval.map(|i| i.0 as i32), interval.map(|i| i.1 as i32));
+            assert_eq!(found, (low, high), "{n}");
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,13 +2,17 @@
 //! nodes, in virtual time. One seed gives one run, to the byte. Figures are of models.
 
 mod clients;
+mod compare;
 mod draw;
 mod plain;
+mod report;
 mod sim;
 
+pub use compare::{compare, figures, median_with_interval, Change, Line, Variant};
 pub use draw::{Kind, Trouble, World};
 pub use plain::Plain;
-pub use sim::{run, Mutant, Run};
+pub use report::{curves, page, Series};
+pub use sim::{run, Class, Mutant, Run};
 
 use tackmast_rulecheck::{judge, Report};
 
@@ -20,7 +24,12 @@
 }
 
 pub fn play(world: &World, mutant: Option<Mutant>) -> Found {
-    let run = run(world, mutant, None);
+    play_with(world, mutant, None)
+}
+
+/// With a plain host in the core's place, where one is given.
+pub fn play_with(world: &World, mutant: Option<Mutant>, plain: Option<Plain>) -> Found {
+    let run = run(world, mutant, plain);
     Found { seed: world.seed, report: judge(&run.trace), run }
 }
 
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,341 @@
+//! One page a run: service over time with the troubles marked, legs out by node, the limited volume's store, and answer
+//! times as percentile curves. Pictures are drawn by plotters as SVG within the page.
+
+use crate::draw::{Kind, World};
+use crate::sim::Run;
+use crate::Found;
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+use tackmast_trace::{AnswerKind, Event, LegName};
+
+/// Buckets of time across a picture.
+const BUCKETS: usize = 120;
+const SIZE: (u32, u32) = (1100, 300);
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+    RGBColor(44, 160, 44),
+    RGBColor(148, 103, 189),
+    RGBColor(255, 127, 14),
+    RGBColor(90, 90, 90),
+];
+
+/// A run over time; each list has one value a bucket.
+pub struct Series {
+    /// Seconds of a bucket.
+    pub step: f64,
+    pub asked: Vec<f64>,
+    pub in_time: Vec<f64>,
+    pub deferred: Vec<f64>,
+    /// By node's place in order of address: mean legs out.
+    pub out: Vec<Vec<f64>>,
+    pub nodes: Vec<String>,
+    /// Most units in the limited volume's store, as the rule draws it, over its burst and slack.
+    pub store: Vec<f64>,
+}
+
+impl Series {
+    /// From the trace alone. In time is by the SLO times of the streams, as the facts tell them.
+    pub fn of(run: &Run) -> Series {
+        let (first, last) = (run.trace.first().map_or(0, |l| l.t), run.trace.last().map_or(1, |l| l.t));
+        let long = (last - first).max(1) as f64 / 1e6;
+        let step = long / BUCKETS as f64;
+        let place = |t: u64| (((t - first) as f64 / 1e6 / step) as usize).min(BUCKETS - 1);
+        let facts = run.trace.iter().find_map(|l| match &l.event {
+            Event::Facts(f) => Some(f.clone()),
+            _ => None,
+        });
+        let facts = facts.unwrap_or_default();
+        let limited = facts.volumes.iter().find(|v| v.limit > 0.0).cloned();
+        let mut s = Series {
+            step,
+            asked: vec![0.0; BUCKETS],
+            in_time: vec![0.0; BUCKETS],
+            deferred: vec![0.0; BUCKETS],
+            out: Vec::new(),
+            nodes: Vec::new(),
+            store: vec![0.0; BUCKETS],
+        };
+        let mut open = BTreeMap::new();
+        let mut legs: BTreeMap<LegName, (u64, String, u64)> = BTreeMap::new();
+        let mut spans: Vec<(String, u64, u64)> = Vec::new();
+        let (mut level, mut level_at, mut drew) = (0.0f64, first, std::collections::BTreeSet::new());
+        for l in &run.trace {
+            match &l.event {
+                Event::Submit { host, session, command, stream, .. } => {
+                    s.asked[place(l.t)] += 1.0;
+                    open.insert((*host, *session, *command), (l.t, *stream as usize));
+                }
+                Event::Answer { host, session, command, kind, .. } => {
+                    let Some((t, stream)) = open.remove(&(*host, *session, *command)) else { continue };
+                    let slo = facts.streams.get(stream).map_or(u64::MAX, |s| s.slo_us);
+                    s.in_time[place(t)] += f64::from(u8::from(*kind == AnswerKind::Done && l.t - t <= slo));
+                    s.deferred[place(t)] += f64::from(u8::from(*kind == AnswerKind::Deferred));
+                }
+                Event::Leg { node, name, left_us, volume, units, .. } => {
+                    legs.insert(*name, (l.t, node.clone(), l.t + left_us));
+                    let drawn = limited.as_ref().filter(|v| v.volume == *volume);
+                    if let Some(v) = drawn.filter(|_| drew.insert((name.host, name.life, name.xfer))) {
+                        let gone = (l.t - level_at) as f64 / 1e6;
+                        level = (level - v.limit * gone).max(0.0) + units;
+                        level_at = l.t;
+                        let part = level / (v.burst + v.slack).max(1e-9);
+                        s.store[place(l.t)] = s.store[place(l.t)].max(part);
+                    }
+                }
+                Event::LegEnd { name, .. } => {
+                    if let Some((t, node, _)) = legs.remove(name) {
+                        spans.push((node, t, l.t));
+                    }
+                }
+                Event::LinkDown { legs: down, .. } => {
+                    for name in down {
+                        if let Some((t, node, _)) = legs.remove(name) {
+                            spans.push((node, t, l.t));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        spans.extend(legs.into_values().map(|(t, node, until)| (node, t, until.min(last))));
+        let mut nodes: Vec<String> = spans.iter().map(|x| x.0.clone()).collect();
+        nodes.sort();
+        nodes.dedup();
+        s.out = vec![vec![0.0; BUCKETS]; nodes.len()];
+        for (node, from, to) in spans {
+            let Ok(n) = nodes.binary_search(&node) else { continue };
+            // Each bucket gets the part of it for which the leg was out.
+            for (i, out) in s.out[n].iter_mut().enumerate().take(place(to) + 1).skip(place(from)) {
+                let (low, high) = (i as f64 * step, (i + 1) as f64 * step);
+                let from = ((from - first) as f64 / 1e6).max(low);
+                let to = ((to - first) as f64 / 1e6).min(high);
+                *out += (to - from).max(0.0) / step;
+            }
+        }
+        s.nodes = nodes;
+        s
+    }
+}
+
+/// Answer times at percentiles, in milliseconds: name, and pairs of (nines, time), where 2 nines are the 99th.
+pub fn curves(run: &Run) -> Vec<(String, Vec<(f64, f64)>)> {
+    let points = |c: &crate::sim::Class| {
+        let most = (c.done.max(1) as f64).log10();
+        let steps = (0..=40).map(|i| f64::from(i) / 10.0).take_while(|nines| *nines <= most);
+        steps.map(|n| (n, c.times.value_at_quantile(1.0 - 10f64.powf(-n)) as f64 / 1e3)).collect()
+    };
+    run.classes.iter().filter(|(_, c)| c.done > 0).map(|(name, c)| (name.clone(), points(c))).collect()
+}
+
+fn failed(e: impl std::fmt::Display) -> String {
+    format!("picture: {e}")
+}
+
+/// Bars of the troubles' times, under what is drawn after them.
+fn troubles(w: &World) -> Vec<(f64, f64, String)> {
+    let name = |k: &Kind| format!("{k:?}").split(['(', '{']).next().unwrap_or("").trim().to_owned();
+    let span = |t: &crate::Trouble| {
+        let at = t.at_us as f64 / 1e6;
+        (at, at + t.for_us as f64 / 1e6, name(&t.kind))
+    };
+    w.troubles.iter().map(span).collect()
+}
+
+fn over_time(title: &str, w: &World, lines: &[(&str, Vec<f64>)], step: f64) -> Result<String, String> {
+    let mut text = String::new();
+    let most = lines.iter().flat_map(|l| l.1.iter().copied()).fold(0.0, f64::max).max(1e-9) * 1.1;
+    let long = step * BUCKETS as f64;
+    {
+        let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(failed)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..long, 0.0..most)
+            .map_err(failed)?;
+        chart.configure_mesh().light_line_style(WHITE).x_desc("seconds").draw().map_err(failed)?;
+        let all = troubles(w);
+        let rows = all.len().max(1) as f64;
+        for (i, (from, to, name)) in all.iter().enumerate() {
+            let top = most * (1.0 - i as f64 / rows);
+            let low = top - most / rows;
+            let bar = Rectangle::new(
+                [(*from, low), (to.min(long), top)],
+                RGBColor(255, 200, 120).mix(0.35).filled(),
+            );
+            chart.draw_series([bar]).map_err(failed)?;
+            if all.len() <= 24 {
+                let word = Text::new(
+                    name.clone(),
+                    (*from, top),
+                    ("sans-serif", 10).into_font().color(&RGBColor(120, 80, 0)),
+                );
+                chart.draw_series([word]).map_err(failed)?;
+            }
+        }
+        for (i, (name, values)) in lines.iter().enumerate() {
+            let colour = COLOURS[i % COLOURS.len()];
+            let points = values.iter().enumerate().map(|(i, y)| ((i as f64 + 0.5) * step, *y));
+            let drawn = chart.draw_series(LineSeries::new(points, colour.stroke_width(2))).map_err(failed)?;
+            drawn.label(*name).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()
+            .map_err(failed)?;
+        area.present().map_err(failed)?;
+    }
+    Ok(text)
+}
+
+/// Legs out by node, dark where many are: one row a node, so that hundreds of hosts and dozens of nodes stay legible.
+fn by_node(s: &Series) -> Result<String, String> {
+    let mut text = String::new();
+    let most = s.out.iter().flatten().copied().fold(0.0, f64::max).max(1e-9);
+    let rows = s.nodes.len().max(1);
+    let height = 70 + (rows as u32 * 12).clamp(120, 1200);
+    {
+        let area = SVGBackend::with_string(&mut text, (SIZE.0, height)).into_drawing_area();
+        area.fill(&WHITE).map_err(failed)?;
+        let long = s.step * BUCKETS as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(format!("legs out by node (darkest: {most:.1})"), ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(120)
+            .build_cartesian_2d(0.0..long, 0.0..rows as f64)
+            .map_err(failed)?;
+        let name = |y: &f64| s.nodes.get(*y as usize).cloned().unwrap_or_default();
+        chart
+            .configure_mesh()
+            .disable_mesh()
+            .x_desc("seconds")
+            .y_labels(rows.min(60))
+            .y_label_formatter(&name)
+            .y_label_style(("sans-serif", 9))
+            .draw()
+            .map_err(failed)?;
+        for (n, row) in s.out.iter().enumerate() {
+            let cells = row.iter().enumerate().filter(|(_, x)| **x > 0.0).map(|(i, x)| {
+                // By the root, so that a few legs beside a flood can still be seen.
+                let colour = RGBColor(20, 60, 140).mix((x / most).sqrt()).filled();
+                let (from, to) = (i as f64 * s.step, (i + 1) as f64 * s.step);
+                Rectangle::new([(from, n as f64), (to, n as f64 + 0.9)], colour)
+            });
+            chart.draw_series(cells).map_err(failed)?;
+        }
+        area.present().map_err(failed)?;
+    }
+    Ok(text)
+}
+
+fn percentiles(run: &Run) -> Result<String, String> {
+    let mut text = String::new();
+    let all = curves(run);
+    let values = || all.iter().flat_map(|c| c.1.iter());
+    let most = values().map(|p| p.1).fold(1.0, f64::max) * 1.2;
+    let nines = values().map(|p| p.0).fold(1.0, f64::max);
+    {
+        let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(failed)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption("answer times of what was done, ms", ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..nines, (0.1..most).log_scale())
+            .map_err(failed)?;
+        let percent = |x: &f64| {
+            format!("{:.5}", 100.0 * (1.0 - 10f64.powf(-*x)))
+                .trim_end_matches('0')
+                .trim_end_matches('.')
+                .to_owned()
+        };
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE)
+            .x_label_formatter(&percent)
+            .x_desc("percent")
+            .draw()
+            .map_err(failed)?;
+        for (i, (name, points)) in all.iter().enumerate() {
+            let colour = COLOURS[i % COLOURS.len()];
+            let points = points.iter().map(|(x, y)| (*x, y.max(0.1)));
+            let drawn = chart.draw_series(LineSeries::new(points, colour.stroke_width(2))).map_err(failed)?;
+            drawn.label(name.as_str()).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()
+            .map_err(failed)?;
+        area.present().map_err(failed)?;
+    }
+    Ok(text)
+}
+
+fn plain_text(s: &str) -> String {
+    s.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The whole page, with the figures as text.
+pub fn page(w: &World, found: &Found, text: &str) -> Result<String, String> {
+    let s = Series::of(&found.run);
+    let rate = |v: &[f64]| v.iter().map(|x| x / s.step).collect::<Vec<f64>>();
+    let lines = [("asked", rate(&s.asked)), ("in time", rate(&s.in_time)), ("deferred", rate(&s.deferred))];
+    let pictures = [
+        over_time("transfers a second, by when they were asked; troubles behind", w, &lines, s.step)?,
+        over_time(
+            "the limited volume's store over its burst and slack",
+            w,
+            &[("store", s.store.clone())],
+            s.step,
+        )?,
+        percentiles(&found.run)?,
+        by_node(&s)?,
+    ];
+    Ok(format!(
+        "<!doctype html>\n<meta charset=\"utf-8\">\n<title>seed {}</title>\n<body style=\"font-family: sans-serif\">\n\
+         <h1>Seed {}: {} hosts, {} nodes, {:.1} s</h1>\n<p>Figures are of models in virtual time.</p>\n{}\n<pre>{}</pre>\n</body>\n",
+        w.seed,
+        w.seed,
+        w.hosts,
+        w.nodes,
+        w.seconds,
+        pictures.join("\n"),
+        plain_text(text)
+    ))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::play;
+
+    #[test]
+    fn a_report_counts_what_the_run_counted_and_repeats_to_the_byte() {
+        let w = World::draw(12, 4);
+        let found = play(&w, None);
+        let s = Series::of(&found.run);
+        let sum = |v: &[f64]| v.iter().sum::<f64>();
+        assert_eq!(sum(&s.asked), found.run.asked as f64);
+        assert_eq!(sum(&s.deferred), found.run.deferred as f64);
+        assert_eq!(s.out.len(), s.nodes.len());
+        assert!(!s.nodes.is_empty() && s.out.iter().flatten().any(|x| *x > 0.0));
+        // The limit's rule held, so the store never passed its brim by more than one transfer.
+        assert!(s.store.iter().all(|x| *x < 1.5), "{:?}", s.store);
+        for (name, points) in curves(&found.run) {
+            assert!(points.windows(2).all(|p| p[0].1 <= p[1].1), "{name}: {points:?}");
+        }
+        let one = page(&w, &found, "a < b").unwrap();
+        assert!(one.matches("<svg").count() == 4 && one.contains("a &lt; b"));
+        assert_eq!(one, page(&w, &play(&w, None), "a < b").unwrap());
+    }
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -63,7 +63,31 @@
     BudgetIgnored,
 }
 
+/// Answers of one plan and stream type.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub asked: u64,
+    pub done: u64,
+    pub in_time: u64,
+    /// Microseconds until done.
+    pub times: hdrhistogram::Histogram<u64>,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        let times = hdrhistogram::Histogram::new_with_bounds(1, 60_000_000, 2);
+        Class { asked: 0, done: 0, in_time: 0, times: times.expect("the library takes these constants") }
+    }
+}
+
 pub struct Run {
+    /// By plan and stream type.
+    pub classes: BTreeMap<String, Class>,
+    /// Units of all legs that left, and of those whose transfer was not done by them in time for its client.
+    pub sent_units: f64,
+    pub wasted_units: f64,
+    /// Units a second of the limited volume over its limit.
+    pub limit_used: f64,
     pub trace: Vec<Line>,
     pub asked: u64,
     pub done: u64,
@@ -399,6 +423,10 @@
         sends: 0,
         answers: 0,
         run: Run {
+            classes: BTreeMap::new(),
+            sent_units: 0.0,
+            wasted_units: 0.0,
+            limit_used: 0.0,
             trace: Vec::new(),
             asked: 0,
             done: 0,
@@ -416,6 +444,7 @@
     };
     sim.play();
     sim.run.trace.sort_by_key(|l| l.t);
+    sim.account();
     sim.run
 }
 
@@ -490,6 +519,51 @@
         self.run.stuck += self.clients.iter().map(|c| c.core.open()).sum::<usize>();
     }
 
+    /// What the trace shows by class, of work, and of the limit.
+    fn account(&mut self) {
+        use tackmast_trace::Event as Seen;
+        let mut open: BTreeMap<(u32, u32, u32), (Us, usize)> = BTreeMap::new();
+        let mut served: BTreeMap<(u32, u32, u32), f64> = BTreeMap::new();
+        let (mut limited, mut classes) = (0.0, BTreeMap::<usize, Class>::new());
+        let mut legs: BTreeMap<LegName, (f64, u32)> = BTreeMap::new();
+        for l in &self.run.trace {
+            match &l.event {
+                Seen::Submit { host, session, command, volume, stream, .. } => {
+                    let class = (*volume as usize) * 3 + *stream as usize;
+                    classes.entry(class).or_default().asked += 1;
+                    open.insert((*host, *session, *command), (l.t, class));
+                }
+                Seen::Leg { name, session, command, units, volume, .. } => {
+                    self.run.sent_units += units;
+                    legs.insert(*name, (*units, *volume));
+                    *served.entry((name.host, *session, *command)).or_default() += units;
+                }
+                Seen::LegEnd { name, kind: LegEndKind::Done, .. } => {
+                    limited += legs.get(name).filter(|(_, v)| *v == 1).map_or(0.0, |(u, _)| *u);
+                }
+                Seen::Answer { host, session, command, kind: AnswerKind::Done, .. } => {
+                    if let Some((t, class)) = open.remove(&(*host, *session, *command)) {
+                        let c = classes.entry(class).or_default();
+                        c.done += 1;
+                        let in_time = l.t - t <= SLO[class % 3];
+                        c.in_time += u64::from(in_time);
+                        _ = c.times.record((l.t - t).max(1));
+                        if in_time {
+                            served.remove(&(*host, *session, *command));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.run.wasted_units = served.values().sum();
+        let limit = self.settings[0].plans[0].limit;
+        self.run.limit_used = limited / (limit * self.w.seconds);
+        let names = [["premium read", "premium log", ""], ["basic read", "", "basic save"]];
+        let named = classes.into_iter().map(|(c, x)| (names[c / 3][c % 3].to_owned(), x));
+        self.run.classes = named.collect();
+    }
+
     fn facts(&self) -> Facts {
         let s = settings(self.w, 0, None);
         let stream = |name: &str, effect, in_order| StreamFacts {
--- /dev/null
+++ b/lab/buckets.hcl
@@ -0,0 +1,2 @@
+# A plain host in place of the core.
+plain = "buckets"
--- /dev/null
+++ b/lab/core.hcl
@@ -0,0 +1,1 @@
+# The host core, in worlds as they are drawn.
