Loads from files, and the lab held against loopback; its nodes keep their own time

Need: one open-loop load for the lab and for loopback, and the lab's own truth.

A test plays a light load at three sizes.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -25,6 +25,26 @@
         /// A page with pictures of the run: service, stores, percentiles, legs by node.
         #[arg(long)]
         report: Option<std::path::PathBuf>,
+        /// The trace, line by line as JSON, for `tackmast rules` and for reading.
+        #[arg(long)]
+        trace: Option<std::path::PathBuf>,
+        /// Arrivals from a file, in place of those drawn.
+        #[arg(long)]
+        load: Option<std::path::PathBuf>,
+        /// Without the troubles drawn.
+        #[arg(long)]
+        calm: bool,
+    },
+    /// Plays a load from a file once here and once through real hosts and stand-in nodes on loopback, side by side.
+    Truth {
+        file: std::path::PathBuf,
+        #[arg(long, default_value_t = 3)]
+        hosts: u32,
+        #[arg(long, default_value_t = 4)]
+        nodes: u32,
+        /// Milliseconds of one core's work in a unit.
+        #[arg(long, default_value_t = 4.0)]
+        unit_ms: f64,
     },
     /// Plays the same seeds under two variants and tells the medians and their differences, each with the interval that
     /// holds the median with 95% by the sign test. A variant is an HCL file: `plain` (fcfs, caps or buckets, in place of the
@@ -58,7 +78,7 @@
 
 pub fn run(command: LabCommand) -> Result<ExitCode, String> {
     match command {
-        LabCommand::Play { seed, hosts, seconds, nodes, rate, report } => {
+        LabCommand::Play { seed, hosts, seconds, nodes, rate, report, trace, load: file, calm } => {
             if !(1..=1000).contains(&hosts) || nodes.is_some_and(|n| !(1..=1000).contains(&n)) {
                 return Err(format!("--hosts {hosts}; expected 1 to 1000, and as many nodes at most"));
             }
@@ -66,11 +86,21 @@
             world.seconds = seconds.unwrap_or(world.seconds).clamp(0.1, 600.0);
             world.nodes = nodes.unwrap_or(world.nodes);
             world.rate = rate.unwrap_or(world.rate);
-            world.troubles.retain(|t| t.node < world.nodes);
+            world.troubles.retain(|t| !calm && t.node < world.nodes);
+            if let Some(file) = file {
+                let load = load(&file)?;
+                world.seconds = seconds.unwrap_or(load.seconds + 0.5);
+                world.load = Some(std::sync::Arc::new(load));
+            }
             let started = Instant::now();
             let found = play(&world, None);
             let text = shown(&world, &found);
             print!("{text}");
+            if let Some(path) = trace {
+                let file = std::fs::File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+                tackmast_trace::write(&found.run.trace, file)
+                    .map_err(|e| format!("{}: {e}", path.display()))?;
+            }
             if let Some(path) = report {
                 std::fs::write(&path, page(&world, &found, &text)?)
                     .map_err(|e| format!("{}: {e}", path.display()))?;
@@ -82,6 +112,33 @@
             );
             Ok(ExitCode::from(u8::from(found.is_bad())))
         }
+        LabCommand::Truth { file, hosts, nodes, unit_ms } => {
+            if !(1..=8).contains(&hosts) || !(1..=60).contains(&nodes) || !(0.1..=100.0).contains(&unit_ms) {
+                return Err(format!("--hosts {hosts} --nodes {nodes} --unit-ms {unit_ms}; expected 1 to 8, 1 to 60, 0.1 to 100"));
+            }
+            let load = load(&file)?;
+            println!("{hosts} hosts, {nodes} nodes; models in virtual time, and stand-ins on loopback");
+            println!(
+                "{:<12} {:<9} {:>7} {:>8} {:>9} {:>8} {:>9} {:>9}",
+                "flow", "where", "asked", "in time", "deferred", "abandon.", "p50 ms", "p99 ms"
+            );
+            for b in tackmast_measure::held_against_loopback(&load, hosts, nodes, unit_ms)? {
+                for (place, f) in [("lab", &b.lab), ("loopback", &b.loopback)] {
+                    let part = |n: u64| n as f64 / f.asked.max(1) as f64;
+                    println!(
+                        "{:<12} {place:<9} {:>7} {:>8.3} {:>9.3} {:>8.3} {:>9.1} {:>9.1}",
+                        b.flow,
+                        f.asked,
+                        part(f.in_time),
+                        part(f.deferred),
+                        part(f.abandoned),
+                        f.p50_ms,
+                        f.p99_ms
+                    );
+                }
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         LabCommand::Compare { a, b, seeds, first, hosts, threads } => {
             if !(1..=100_000).contains(&seeds) || !(1..=300).contains(&hosts) {
                 return Err(format!("--seeds {seeds} --hosts {hosts}; expected 1 to 100000 and 1 to 300"));
@@ -114,6 +171,11 @@
     change: Change,
 }
 
+fn load(path: &std::path::Path) -> Result<tackmast_load::Load, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    tackmast_load::Load::parse(&path.display().to_string(), &text).map_err(|e| e.to_string())
+}
+
 fn variant(path: &std::path::Path) -> Result<Variant, String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod document;
 mod host;
 
-pub use document::{ConfigError, Document};
+pub use document::{ConfigError, Document, Place};
 pub use host::{
     Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, OverridesBlock, Plan, Stream, Units, Volume,
 };
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -72,6 +72,8 @@
     pub warm_s: f64,
     /// The list tells when it was sent; else hosts read it by their own wall clocks.
     pub timed_list: bool,
+    /// Arrivals from a file, in place of those drawn.
+    pub load: Option<std::sync::Arc<tackmast_load::Load>>,
     pub troubles: Vec<Trouble>,
 }
 
@@ -103,6 +105,7 @@
             fall_multiple: 2.0,
             warm_s: 2.0,
             timed_list: true,
+            load: None,
             troubles: Vec::new(),
         };
         for number in 0..17u32 {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,7 +12,7 @@
 pub use draw::{Kind, Trouble, World};
 pub use plain::Plain;
 pub use report::{curves, page, Series};
-pub use sim::{run, Class, Mutant, Run};
+pub use sim::{run, settings, Class, Mutant, Run};
 
 use tackmast_rulecheck::{judge, Report};
 
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -38,6 +38,8 @@
 const BESIDE: u32 = 1;
 /// A client's call; clients wait as long as their sessions allow.
 const CALL: Us = 900_000;
+/// From the start until a load from a file begins.
+const LOAD_AFTER: Us = 500_000;
 const ORDERS: tackmast_overrides::Settings = tackmast_overrides::Settings { most: 1000, zone_part: 0.7 };
 
 /// Deliberate faults, for the hunt to find.
@@ -69,6 +71,8 @@
     pub asked: u64,
     pub done: u64,
     pub in_time: u64,
+    pub deferred: u64,
+    pub abandoned: u64,
     /// Microseconds until done.
     pub times: hdrhistogram::Histogram<u64>,
 }
@@ -76,7 +80,14 @@
 impl Default for Class {
     fn default() -> Self {
         let times = hdrhistogram::Histogram::new_with_bounds(1, 60_000_000, 2);
-        Class { asked: 0, done: 0, in_time: 0, times: times.expect("the library takes these constants") }
+        Class {
+            asked: 0,
+            done: 0,
+            in_time: 0,
+            deferred: 0,
+            abandoned: 0,
+            times: times.expect("the library takes these constants"),
+        }
     }
 }
 
@@ -123,6 +134,8 @@
 enum Event {
     Trouble(usize, bool),
     Arrive(u32),
+    /// The next arrival of the file's load.
+    Loaded,
     /// Bytes for a node, or for a host, of a link's life.
     ToNode(u32, u32, u64, Vec<u8>),
     ToHost(u32, u32, u64, Vec<u8>),
@@ -231,6 +244,7 @@
     kept: Vec<Kept>,
     clients: Vec<Client>,
     clients_of: Vec<Vec<u32>>,
+    arrivals: std::collections::VecDeque<tackmast_load::Arrival>,
     offer: std::sync::Arc<target::Offer>,
     units: std::sync::Arc<Vec<tackmast_wire::scsi::Unit>>,
     settings: Vec<HostSettings>,
@@ -262,7 +276,8 @@
     (t.secs() * 1e6).round().max(0.0) as Us
 }
 
-fn settings(w: &World, host: u32, mutant: Option<Mutant>) -> HostSettings {
+/// What each host of a world is told.
+pub fn settings(w: &World, host: u32, mutant: Option<Mutant>) -> HostSettings {
     let shards: Vec<String> = (0..w.nodes).map(|n| n.to_string()).collect();
     let shards = shards.join(", ");
     let capacity = f64::from(w.cores) / w.unit_s;
@@ -381,7 +396,7 @@
         held: BTreeMap::new(),
         served: BTreeMap::new(),
         total: BTreeMap::new(),
-        wake: 0,
+        wake: Us::MAX,
         listed: NodeState::Ready,
         listed_start: 0,
         generation: 0,
@@ -403,6 +418,7 @@
         kept: (0..w.hosts).map(|_| Kept::default()).collect(),
         clients: Vec::new(),
         clients_of: vec![Vec::new(); w.hosts as usize],
+        arrivals: w.load.iter().flat_map(|l| l.arrivals(w.hosts)).collect(),
         offer: std::sync::Arc::new(target::Offer::of(&all[0])),
         units: std::sync::Arc::new(units),
         settings: all,
@@ -495,7 +511,13 @@
             self.add_clients(h);
             self.push(start, Event::HostTime(h));
             let first = start + (self.chance.rand_float() * 20_000.0) as Us;
-            self.push(first, Event::Arrive(h));
+            if self.w.load.is_none() {
+                self.push(first, Event::Arrive(h));
+            }
+        }
+        // Hosts have the list by the time a load from a file begins.
+        if let Some(a) = self.arrivals.front() {
+            self.push(start + LOAD_AFTER + a.at_us, Event::Loaded);
         }
         for (i, t) in self.w.troubles.iter().enumerate() {
             self.push(start + t.at_us, Event::Trouble(i, true));
@@ -541,7 +563,16 @@
                 Seen::LegEnd { name, kind: LegEndKind::Done, .. } => {
                     limited += legs.get(name).filter(|(_, v)| *v == 1).map_or(0.0, |(u, _)| *u);
                 }
-                Seen::Answer { host, session, command, kind: AnswerKind::Done, .. } => {
+                Seen::Answer { host, session, command, kind, .. } if *kind != AnswerKind::Done => {
+                    if let Some((_, class)) = open.remove(&(*host, *session, *command)) {
+                        let c = classes.entry(class).or_default();
+                        match kind {
+                            AnswerKind::Deferred => c.deferred += 1,
+                            _ => c.abandoned += 1,
+                        }
+                    }
+                }
+                Seen::Answer { host, session, command, .. } => {
                     if let Some((t, class)) = open.remove(&(*host, *session, *command)) {
                         let c = classes.entry(class).or_default();
                         c.done += 1;
@@ -644,6 +675,7 @@
         match e {
             Event::Trouble(i, on) => self.trouble(i, on),
             Event::Arrive(h) => self.arrive(h, last),
+            Event::Loaded => self.loaded(),
             Event::ToNode(h, n, life, bytes) => self.node_gets(h, n, life, &bytes),
             Event::ToHost(h, n, life, bytes) => self.host_gets(h, n, life, &bytes),
             Event::Refused(h, life, leg) => {
@@ -712,6 +744,28 @@
         }
     }
 
+    fn loaded(&mut self) {
+        let Some(a) = self.arrivals.pop_front() else { return };
+        if let Some(next) = self.arrivals.front() {
+            self.push(self.now + (next.at_us - a.at_us), Event::Loaded);
+        }
+        let volume = self.w.load.as_ref().map_or("", |l| l.flows[a.flow].volume.as_str());
+        let Some(lun) = ["museum", "school"].iter().position(|v| *v == volume) else { return };
+        // The limited volume comes through the first hosts only, as it was told.
+        let h = if lun == 1 { a.host % self.w.hosts.min(3) } else { a.host };
+        if !self.hosts[h as usize].up {
+            return;
+        }
+        match self.clients_of[h as usize]
+            .iter()
+            .find(|c| self.clients[**c as usize].lun == lun as u32)
+            .copied()
+        {
+            Some(c) => self.call(c, a.write, a.block, a.blocks),
+            None => self.beside(h, lun as u32, a.write, a.block, a.blocks),
+        }
+    }
+
     fn arrive(&mut self, h: u32, last: Us) {
         let gap = -(1.0 - self.chance.rand_float()).ln() / (self.w.rate * self.surge).max(0.01);
         let next = self.now + (gap * 1e6) as Us + 1;
@@ -734,6 +788,11 @@
                 return self.call(c, write, block, blocks);
             }
         }
+        self.beside(h, lun, write, block, blocks);
+    }
+
+    /// A command that comes without a protocol.
+    fn beside(&mut self, h: u32, lun: u32, write: bool, block: u64, blocks: u32) {
         let host = &mut self.hosts[h as usize];
         host.next += 1;
         let command = host.next;
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -61,3 +61,22 @@
         }
     }
 }
+
+#[test]
+fn a_light_load_from_a_file_is_served_at_once_by_nodes_that_keep_their_own_time() {
+    // Found by holding the lab against loopback: nodes were looked at only when something came, so that a quiet node took
+    // far too long, and the more so the more nodes there were.
+    let load = tackmast_load::Load::parse(
+        "light",
+        "load {\n seconds = 4\n seed = 1\n}\nflow \"f\" {\n volume = \"museum\"\n rate = 60\n writes = 0.3\n blocks = [1, 8]\n span = 50000\n}\n",
+    );
+    for (hosts, nodes, clients) in [(1, 8, [0, 0]), (3, 4, [1, 1]), (20, 20, [0, 0])] {
+        let mut w = World::draw(5, hosts);
+        w.troubles.clear();
+        (w.nodes, w.clients, w.unit_s, w.seconds) = (nodes, clients, 0.004, 5.0);
+        w.load = Some(std::sync::Arc::new(load.clone().unwrap()));
+        let run = play(&w, None).run;
+        let part = run.in_time as f64 / run.asked as f64;
+        assert!(run.asked > 150 && part > 0.97, "{hosts} hosts, {nodes} nodes: {part} of {}", run.asked);
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,11 +6,13 @@
 mod load;
 mod orders;
 mod service;
+mod truth;
 
 pub use core_cost::{core_cost, core_cost_with_orders, CoreCost};
 pub use load::{Load, Route, Shown};
 pub use orders::{timers, Timers};
 pub use service::{beside_greedy, through_library};
+pub use truth::{held_against_loopback, Both};
 
 use std::net::SocketAddr;
 use std::path::Path;
