A node long up is no news at its first link: nothing learned is lost, nothing waiting is sent anew

Change: one of which no start was told counts as long up, and its hello is news only below half an hour. A table of cases holds every way a start can be told.

--- a/crates/hostcore/src/nodes.rs
+++ b/crates/hostcore/src/nodes.rs
@@ -97,9 +97,16 @@
     }
 
     /// A node's own word on when it started; the changed entry, if that is news.
-    pub fn started(&mut self, node: NodeId, up_since: Instant) -> Option<NodeEntry> {
+    pub fn started(&mut self, now: Instant, node: NodeId, up: Span) -> Option<NodeEntry> {
+        let up_since = now - up.max(Span::ZERO);
         let k = self.known.get_mut(node.0 as usize)?;
-        if k.entry.up_since.is_some_and(|known| (up_since - known).secs() < START_NEWS) {
+        // One of which no start was told counts as long up. That it is must not pass for a start: what the module has
+        // learned of it would be lost at the first link to each node, and what waits for the link sent anew.
+        let news = match k.entry.up_since {
+            Some(known) => (up_since - known).secs() >= START_NEWS,
+            None => up.secs() < LONG_PAST,
+        };
+        if !news {
             return None;
         }
         k.entry.up_since = Some(up_since);
@@ -136,3 +143,50 @@
         self.known.iter().map(|k| (k.address.as_str(), &k.entry))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_start_is_never_taken_for_earlier_than_it_can_be() {
+        let (at, s) = (Instant::from_secs, Span::from_secs);
+        let told = |name, age| Some(Start { name, age: Age::Told(s(age)) });
+        let by_wall = |name, age| Some(Start { name, age: Age::ByWall(s(age)) });
+        // What is told, one after the other at times 100, 101, ...: by the list, or by the node itself; then the start
+        // that is taken from it.
+        type Told = Result<Option<Start>, f64>;
+        let cases: Vec<(&str, Vec<Told>, Option<f64>)> = vec![
+            ("nothing is told", vec![Ok(None)], None),
+            ("the list's clock", vec![Ok(told(7, 30.0))], Some(70.0)),
+            ("the node's clock is ahead of the list's", vec![Ok(told(7, -5.0))], Some(100.0)),
+            ("the host's clock, not long past", vec![Ok(by_wall(7, 120.0))], Some(100.0)),
+            ("the host's clock, long past", vec![Ok(by_wall(7, 7200.0))], Some(-7100.0)),
+            ("the same start again, seen younger", vec![Ok(told(7, 30.0)), Ok(told(7, 5.0))], Some(70.0)),
+            ("another start", vec![Ok(told(7, 30.0)), Ok(told(8, 1.0))], Some(100.0)),
+            ("another name for nearly the same", vec![Ok(told(7, 30.0)), Ok(told(8, 30.8))], Some(70.0)),
+            ("the node knows better", vec![Ok(told(7, 120.0)), Err(0.3)], Some(100.7)),
+            ("a late list does not take that back", vec![Ok(None), Err(0.3), Ok(told(7, 60.0))], Some(100.7)),
+            ("the node agrees", vec![Ok(told(7, 30.0)), Err(30.9)], Some(70.0)),
+            ("long up, as was thought", vec![Ok(None), Err(86_400.0)], None),
+            ("not long up", vec![Ok(None), Err(60.0)], Some(41.0)),
+        ];
+        for (name, all, expected) in cases {
+            let mut nodes = Nodes::new(4);
+            let mut found = None;
+            for (i, t) in all.into_iter().enumerate() {
+                let now = at(100.0 + i as f64);
+                match t {
+                    Ok(start) => {
+                        let (state, zone, shard) = (NodeState::Ready, ZoneId(0), ShardId(0));
+                        let entry = ListEntry { address: "a".into(), state, zone, shard, start };
+                        found = nodes.note(now, &entry).and_then(|e| e.up_since);
+                    }
+                    Err(up) => _ = nodes.started(now, NodeId(0), s(up)),
+                }
+                found = nodes.entry(NodeId(0)).and_then(|e| e.up_since).or(found);
+            }
+            assert_eq!(found.map(Instant::secs), expected, "{name}");
+        }
+    }
+}
