--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -49,7 +49,7 @@
         (Mutant::DeferredLie, 6, 10),
         (Mutant::LimitAlone, 6, 40),
         (Mutant::OrderIgnored, 6, 10),
-        (Mutant::BudgetIgnored, 6, 40),
+        (Mutant::BudgetIgnored, 12, 40),
         (Mutant::ColdIgnored, 12, 100),
     ] {
         let found = hunt(1, within, hosts, Some(mutant));
