--- a/src/policy.rs
+++ b/src/policy.rs
@@ -181,11 +181,11 @@
         self.enqueue(id, false);
     }
 
-    /// The place of the transfer that arrived last among those of its volume, stream type and shard: before all of
-    /// later tags. By such tags a host's sessions share a volume; without them the order of arrival holds.
+    /// The place of the transfer that arrived last among those of its volume, stream type and shard: before
+    /// all of later tags. So a host's sessions share a volume; without tags the order of arrival holds.
     pub fn transfer_tagged(&mut self, id: XferId, tag: f64) {
         let Some(x) = self.xfers.get(&id).filter(|x| x.waiting) else { return };
-        // Not before an earlier one of its key: those behind would wait for it, and it for one far behind them.
+        // Not before an earlier one of its key: it would wait for one far behind, and others for it.
         let line = x.turn.and_then(|k| self.turns.get(&k)).map(|t| &t.line);
         let earlier = line.and_then(|l| l.iter().rev().find(|o| **o != id)).and_then(|o| self.xfers.get(o));
         let tag = earlier.map_or(tag, |e| tag.max(e.tag));
