A link given up for a busy core says how long it waited

Cause: the error named neither the time nor what was expected; a comment on the clock no longer told the truth.

Change: both reworded.

--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -1,4 +1,5 @@
-//! The host's time: monotonic, from its start. Wall time is read once, to place what others tell in wall time.
+//! The host's time: monotonic, from its start. Wall time serves names, audits and what is long past;
+//! nothing that must be in time hangs on it.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tackmast::interface::Instant;
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -309,7 +309,10 @@
         let up = Span::from_secs(up_us as f64 / 1e6);
         _ = self.events.send(Event::NodeUp { node: self.node, up, heard });
         if has_heard.recv_timeout(Duration::from_millis(b.connect_ms)).is_err() {
-            return Err("the core is too busy for a new link".into());
+            return Err(format!(
+                "hello: the core has not heard it in {} ms; expected it at once",
+                b.connect_ms
+            ));
         }
         let out: Outstanding = Arc::new(Mutex::new(Some(HashSet::new())));
         let reading = stream.try_clone().map_err(|e| format!("socket: {e}"))?;
