--- a/crates/benchlink/src/lib.rs
+++ b/crates/benchlink/src/lib.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tackmast::interface::*;
 use tackmast::policy::Scheduler;
+use tackmast_platform::values::{array, index, integer, number, text};
+use tackmast_platform::Settings;
 
 type Fields<'a> = &'a [Value];
 
@@ -109,77 +111,17 @@
 
 impl Host {
     fn new(now: Instant, seed: u64, env: &Map<String, Value>) -> Result<Self, String> {
-        let part = |name: &str| env.get(name).and_then(Value::as_object).cloned().unwrap_or_default();
-        let (domain, rules, limits) = (part("domain"), part("guarantees"), part("limits"));
-        let hosts = or(env, "balancers", 1.0)? as u32;
-        let mut s =
-            Scheduler::new(now, seed, hosts, span(env, "granularity")?, or(&domain, "unit_mean", 1.0)?);
-        for class in env.get("request_classes").and_then(Value::as_array).into_iter().flatten() {
-            let class = class.as_object().ok_or("request_classes: expected objects")?;
-            let effect = match text(class.get("effect"), "effect")? {
-                "repeatable" => Effect::Repeatable,
-                "once" => Effect::Unrepeatable,
-                "by_key" => Effect::Keyed {
-                    group: match text(class.get("group"), "group")? {
-                        "all" => Group::All,
-                        "zone" => Group::Zone,
-                        "cell" => Group::Shard,
-                        other => return Err(format!("group {other}; expected all, zone or cell")),
-                    },
-                    window: span(class, "window")?,
-                },
-                other => return Err(format!("effect {other}; expected repeatable, by_key or once")),
-            };
-            let in_order = class.get("in_order").and_then(Value::as_bool).unwrap_or(false);
-            s.stream(span(class, "target")?, effect, in_order);
-        }
-        for plan in env.get("grades").and_then(Value::as_array).into_iter().flatten() {
-            let plan = plan.as_object().ok_or("grades: expected objects")?;
-            s.plan(
-                or(plan, "ceiling_rate", 0.0)?,
-                or(plan, "most_at_once", 0.0)?,
-                or(plan, "slack", 0.0)?,
-                or(plan, "floor_rate", 0.0)?,
-                or(plan, "proportion", 1.0)?,
-            );
-        }
-        let asks_clients = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
-        let longest = if asks_clients { span(&limits, "max_retry_after")? } else { Span::ZERO };
-        s.leg_limits(
-            or(&limits, "max_attempts", f64::from(u32::MAX))? as u32,
-            longest,
-            span(&rules, "order_settle")?,
-        );
-        if rules.contains_key("look_back") {
-            s.further_leg_budget(
-                or(&rules, "extra_floor", 0.0)?,
-                or(&rules, "further_ratio", 0.0)?,
-                span(&rules, "look_back")?,
-            );
-        }
-        s.cold_nodes(
-            or(&domain, "cold_bears", 0.0)?,
-            or(&rules, "cold_from", 1.0)?,
-            span(&rules, "cold")?,
-            span(&rules, "fall")?,
-            or(&rules, "fall_multiple", 1.0)?,
-        );
-        if env.get("registry_mode").and_then(Value::as_str) == Some("ask") {
-            s.list_must_be_asked();
-        }
+        let settings = Settings::read(env)?;
         Ok(Host {
-            scheduler: s,
+            scheduler: settings.scheduler(now, seed),
             xfers: Names::default(),
             nodes: Names::default(),
             volumes: Names::default(),
             keys: Names::default(),
             armed: None,
             token: 0,
-            waiting_at: part("report")
-                .get("fields")
-                .and_then(Value::as_array)
-                .and_then(|fields| fields.iter().position(|f| f.as_str() == Some("q"))),
-            tells: domain.get("says_others").and_then(Value::as_bool).unwrap_or(false),
+            waiting_at: settings.waiting_at(),
+            tells: settings.tells,
         })
     }
 
@@ -310,36 +252,3 @@
         &self.xfers.texts[id.0 as usize]
     }
 }
-
-fn number(v: Option<&Value>, name: &str) -> Result<f64, String> {
-    v.and_then(Value::as_f64).ok_or_else(|| format!("{name}: expected a number"))
-}
-
-fn integer(v: Option<&Value>, name: &str) -> Result<i64, String> {
-    v.and_then(Value::as_i64).ok_or_else(|| format!("{name}: expected a whole number"))
-}
-
-fn index(v: Option<&Value>, name: &str) -> Result<u32, String> {
-    let n = v.and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
-    n.ok_or_else(|| format!("{name}: expected a whole number from 0"))
-}
-
-fn text<'a>(v: Option<&'a Value>, name: &str) -> Result<&'a str, String> {
-    v.and_then(Value::as_str).ok_or_else(|| format!("{name}: expected text"))
-}
-
-fn array<'a>(v: Option<&'a Value>, name: &str) -> Result<&'a Vec<Value>, String> {
-    v.and_then(Value::as_array).ok_or_else(|| format!("{name}: expected an array"))
-}
-
-/// A setting that may be absent.
-fn or(map: &Map<String, Value>, name: &str, absent: f64) -> Result<f64, String> {
-    match map.get(name) {
-        None | Some(Value::Null) => Ok(absent),
-        found => number(found, name),
-    }
-}
-
-fn span(map: &Map<String, Value>, name: &str) -> Result<Span, String> {
-    Ok(Span::from_secs(or(map, name, 0.0)?))
-}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod log;
 mod measure;
 mod orders;
+mod platform;
 mod serve;
 mod stand;
 
@@ -35,8 +36,12 @@
     /// Ends on SIGTERM or SIGINT. Prints `listening ADDRESS` on standard output once it serves clients.
     Serve {
         /// Settings of the host, in HCL.
-        #[arg(long, value_name = "FILE")]
-        config: PathBuf,
+        #[arg(long, value_name = "FILE", required_unless_present = "platform")]
+        config: Option<PathBuf>,
+        /// Runs on the operators' platform instead: settings are the JSON file that NODE_CONFIG names, clients and nodes
+        /// speak HTTP/1.1. SIGHUP reads the file again. docs/operating.md tells more.
+        #[arg(long, conflicts_with = "config")]
+        platform: bool,
     },
     /// Runs a stand-in for a storage node, on loopback, that keeps its bytes in memory.
     ///
@@ -108,7 +113,8 @@
         return ExitCode::from(2);
     }
     let outcome = match arguments.command {
-        Command::Serve { config } => serve::serve(&config),
+        Command::Serve { config: Some(config), .. } => serve::serve(&config),
+        Command::Serve { config: None, .. } => platform::serve(),
         Command::Node(a) => stand::node(&a),
         Command::NodeList { listen } => stand::node_list(listen),
         Command::Io(c) => io::run(c),
--- /dev/null
+++ b/crates/cli/src/platform.rs
@@ -0,0 +1,55 @@
+//! `tackmast serve --platform`.
+
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::os::unix::net::UnixStream;
+use std::process::ExitCode;
+use tackmast_httphost::{Host, Order};
+use tackmast_platform::Configuration;
+
+/// Where the platform says which file holds a host's configuration.
+const CONFIG: &str = "NODE_CONFIG";
+
+fn read() -> Result<Configuration, String> {
+    let path =
+        std::env::var(CONFIG).map_err(|_| format!("{CONFIG}: not set; expected the path of a file"))?;
+    let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}; expected a file that can be read"))?;
+    Configuration::parse(&bytes).map_err(|e| format!("{path}: {e}"))
+}
+
+pub fn serve() -> Result<ExitCode, String> {
+    let c = read()?;
+    let mut host = Host::start(&c)?;
+    for (signal, order) in [(SIGTERM, Order::End), (SIGINT, Order::End), (SIGHUP, Order::Reload)] {
+        let failed = |e: std::io::Error| format!("signals: {e}");
+        let (ours, theirs) = UnixStream::pair().map_err(failed)?;
+        signal_hook::low_level::pipe::register(signal, theirs).map_err(failed)?;
+        host.takes_orders(order, ours).map_err(failed)?;
+    }
+    let limits = c.limits;
+    tracing::info!(
+        name = c.name,
+        listen = %c.listen,
+        list = %c.discovery,
+        sockets = limits.sockets,
+        memory_bytes = limits.memory_bytes,
+        "host serves"
+    );
+    host.run(read);
+    let s = host.status();
+    tracing::info!(
+        taken = s.core.taken,
+        done = s.core.done,
+        deferred = s.core.deferred,
+        abandoned = s.core.abandoned,
+        left = s.core.left,
+        legs = s.core.legs,
+        further_legs = s.core.further_legs,
+        timed_out = s.core.timed_out,
+        refused = s.refused,
+        spoilt = s.links.spoilt,
+        opened = s.links.opened,
+        reused = s.links.reused,
+        "host has ended"
+    );
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/host/src/core_thread.rs
+++ b/crates/host/src/core_thread.rs
@@ -227,6 +227,7 @@
                 if kind != ListKind::Failed && self.settings.host.saved_list.is_some() {
                     let all = self.core.nodes().entries().filter(|(_, e)| e.state != NodeState::Gone);
                     let keep = all.map(|(address, e)| ListEntry {
+                        id: address.to_owned(),
                         address: address.to_owned(),
                         state: e.state,
                         zone: e.zone,
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant as Wall};
 use tackmast::interface::{NodeId, Outcome, Span};
 use tackmast_config::HostSettings;
-use tackmast_hostcore::{LegBack, LegId, LegWork, SendLeg, Ticket};
+use tackmast_hostcore::{LegBack, LegId, LegWork, Request, SendLeg, Ticket};
 use tackmast_wire::node::{self, Frame, NodeOutcome, Origin};
 
 /// Bytes gathered for one write. What is gathered has been claimed and will leave, so it is little.
@@ -259,7 +259,9 @@
             units: leg.units as f32,
             work: match leg.work {
                 LegWork::Read { length } => node::Work::Read { length },
-                LegWork::Write { data } => node::Work::Write { data },
+                LegWork::Write { data } | LegWork::Request(Request { body: data, .. }) => {
+                    node::Work::Write { data }
+                }
             },
         })
     }
--- a/crates/host/src/list.rs
+++ b/crates/host/src/list.rs
@@ -185,6 +185,7 @@
 fn entry(e: list::Entry, sent_us: u64) -> ListEntry {
     let age = if sent_us > 0 { Age::Told(since(sent_us, e.started_us)) } else { by_wall(e.started_us) };
     ListEntry {
+        id: e.address.clone(),
         address: e.address,
         state: match e.state {
             State::Ready => NodeState::Ready,
@@ -229,6 +230,7 @@
     let saved: Vec<Saved> = serde_json::from_slice(&bytes)
         .map_err(|e| format!("{}: {e}; expected a list saved by a host; starting without", path.display()))?;
     let entry = |s: Saved| ListEntry {
+        id: s.address.clone(),
         address: s.address,
         state: if s.draining { NodeState::Draining } else { NodeState::Ready },
         zone: ZoneId(s.zone),
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -3,9 +3,10 @@
 use crate::admission::{Admission, Held};
 use crate::combine::{combine, Combined, PartEnd};
 use crate::fellows::{Fellows, Followed};
-use crate::layout::{key_id, Layout, Part};
+use crate::layout::{key_id, Layout};
 use crate::nodes::{ListEntry, Nodes};
 use crate::orders::{Ask, Keep, Next, Orders, OrdersStatus, Reply};
+use crate::placed::{Placed, PlacedSettings, Request, VolumeNames};
 use crate::sharing::{LineName, Place, Sharing};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
@@ -49,8 +50,34 @@
 /// What a leg asks of its node; lengths in bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LegWork {
-    Read { length: u32 },
-    Write { data: Bytes },
+    Read {
+        length: u32,
+    },
+    Write {
+        data: Bytes,
+    },
+    /// As it came; its host only places it.
+    Request(Request),
+}
+
+/// What every leg of a transfer says.
+struct LegText {
+    key: u64,
+    volume: u32,
+    offset: u64,
+    units: f64,
+    work: LegWork,
+}
+
+impl LegText {
+    /// How many bytes an answer must bring; none: only its node knows.
+    fn wanted(&self) -> Option<usize> {
+        match &self.work {
+            LegWork::Read { length } => Some(*length as usize),
+            LegWork::Write { .. } => Some(0),
+            LegWork::Request(_) => None,
+        }
+    }
 }
 
 /// The one final answer to a command.
@@ -173,10 +200,8 @@
     serial: u64,
     from: CommandRef,
     part: u16,
-    spec: Part,
-    volume: usize,
+    text: LegText,
     stream: usize,
-    data: Option<Bytes>,
     expiry: Instant,
     legs: u32,
     out: Vec<Out>,
@@ -188,6 +213,29 @@
 }
 
 impl Xfer {
+    fn new(
+        serial: u64,
+        (from, part): (CommandRef, u16),
+        text: LegText,
+        stream: usize,
+        expiry: Instant,
+        place: Option<Place>,
+    ) -> Self {
+        Xfer {
+            serial,
+            from,
+            part,
+            text,
+            stream,
+            expiry,
+            legs: 0,
+            out: Vec::new(),
+            place,
+            ran: false,
+            answered: false,
+        }
+    }
+
     fn may_have_run(&self) -> bool {
         self.ran || self.out.iter().any(|o| o.ticket.is_claimed())
     }
@@ -205,6 +253,7 @@
 pub struct Core {
     scheduler: Scheduler,
     layout: Layout,
+    volume_names: VolumeNames,
     streams: Vec<Stream>,
     tells: bool,
     lead: Span,
@@ -255,16 +304,37 @@
             scheduler.work_saved(c.saved);
         }
         scheduler.list_must_be_asked();
-        Core {
-            scheduler,
-            layout: Layout::new(s),
+        let placed = PlacedSettings {
             streams: s.streams.clone(),
             tells: s.load.tells_others,
-            lead: Span::from_secs(s.host.answer_lead_ms / 1e3),
             longest_wait: longest,
+            grace: Span::from_secs(s.load.drain_grace_ms / 1e3),
+            transfers: s.bounds.transfers,
+            bytes: s.bounds.bytes,
+            nodes: s.bounds.nodes,
+            volumes: 0,
+        };
+        Core {
+            layout: Layout::new(s),
+            lead: Span::from_secs(s.host.answer_lead_ms / 1e3),
+            number: s.host.number,
+            ..Core::placed(now, scheduler, placed, life)
+        }
+    }
+
+    /// A host whose transfers arrive already placed, round a module that has its settings.
+    pub fn placed(now: Instant, scheduler: Scheduler, s: PlacedSettings, life: u64) -> Self {
+        Core {
+            scheduler,
+            layout: Layout::default(),
+            volume_names: VolumeNames::new(s.volumes),
+            streams: s.streams,
+            tells: s.tells,
+            lead: Span::ZERO,
+            longest_wait: s.longest_wait,
             life,
-            nodes: Nodes::new(s.bounds.nodes),
-            admission: Admission::new(now, s.bounds.transfers, s.bounds.bytes, longest),
+            nodes: Nodes::new(s.nodes),
+            admission: Admission::new(now, s.transfers, s.bytes, s.longest_wait),
             sharing: Sharing::default(),
             commands: HashMap::new(),
             sessions: HashMap::new(),
@@ -272,13 +342,13 @@
             serial: 0,
             at_node: BTreeMap::new(),
             until: BTreeSet::new(),
-            grace: Span::from_secs(s.load.drain_grace_ms / 1e3 * GRACE_PART),
+            grace: Span::from_secs(s.grace.secs() * GRACE_PART),
             cuts: BTreeSet::new(),
             list_version: 0,
             orders: None,
             fellows: None,
             draining: false,
-            number: s.host.number,
+            number: 0,
             wall_offset_us: 0,
             outputs: VecDeque::new(),
             counters: Counters::default(),
@@ -293,6 +363,11 @@
         &self.nodes
     }
 
+    /// Of the node list, as far as it is known.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
     /// Whether this host has a leg out at the node.
     pub fn has_legs_at(&self, node: NodeId) -> bool {
         self.at_node.contains_key(&node)
@@ -379,22 +454,18 @@
                 f.member.asked(now, lun, spec.units);
             }
             let tag = place.tag;
-            let x = Xfer {
-                serial,
-                from,
-                part: i as u16,
-                spec: *spec,
-                volume,
-                stream,
-                data: part_data,
-                expiry,
-                legs: 0,
-                out: Vec::new(),
-                place: Some(place),
-                ran: false,
-                answered: false,
+            let v = self.layout.volume(volume);
+            let text = LegText {
+                key: if self.streams[stream].in_order { spec.key } else { 0 },
+                volume: v.lun,
+                offset: spec.block * u64::from(v.block_bytes),
+                units: spec.units,
+                work: match part_data {
+                    Some(data) => LegWork::Write { data },
+                    None => LegWork::Read { length: spec.blocks * v.block_bytes },
+                },
             };
-            self.xfers.insert(*id, x);
+            self.xfers.insert(*id, Xfer::new(serial, (from, i as u16), text, stream, expiry, Some(place)));
             self.scheduler.transfer_arrived(
                 now,
                 *id,
@@ -411,6 +482,39 @@
         }
     }
 
+    /// A transfer that its client has placed already, owed one answer. Volumes, keys and shards are the client's words.
+    pub fn submit_placed(&mut self, now: Instant, from: CommandRef, p: Placed) {
+        self.counters.taken += 1;
+        if self.draining {
+            return self.refuse(from, Some(self.longest_wait));
+        }
+        let known = self.scheduler.knows(p.stream, p.plan);
+        if !known || p.left <= Span::ZERO || self.commands.contains_key(&from) {
+            return self.refuse(from, None);
+        }
+        let open = |v: usize| self.commands.values().any(|c| c.volume == v);
+        let Some(volume) = self.volume_names.number(now, p.volume, open) else {
+            self.counters.over_bound += 1;
+            return self.refuse(from, Some(self.longest_wait));
+        };
+        let bytes = p.request.bytes();
+        if let Err(wait) = self.admission.enter(now, from.session, volume, Held { transfers: 1, bytes }) {
+            self.counters.over_bound += 1;
+            return self.refuse(from, Some(wait));
+        }
+        let (id, stream) = (self.new_id(), p.stream.0 as usize);
+        let parts = vec![(id, None, Bytes::new())];
+        // The client's own mark stands in the request: it is the same at each of its tries.
+        self.commands.insert(from, Command { parts, stream, volume, marked: true, bytes, write: false });
+        self.sessions.entry(from.session).or_default().insert(from.command);
+        let work = LegWork::Request(p.request);
+        let text = LegText { key: 0, volume: volume as u32, offset: 0, units: p.units, work };
+        self.xfers.insert(id, Xfer::new(self.serial, (from, 0), text, stream, now + p.left, None));
+        let (volume, key) = (VolumeId(volume as u32), Some(key_id(p.key)));
+        self.scheduler
+            .transfer_arrived(now, id, p.stream, p.plan, key, p.left, volume, p.units, p.shard, p.hosts);
+    }
+
     /// The next number that no open transfer has. Answered ones keep theirs until their last leg is back.
     fn new_id(&mut self) -> XferId {
         loop {
@@ -569,6 +673,8 @@
         if kind != ListKind::Changes {
             self.nodes.only(&known);
         }
+        let at_node = &self.at_node;
+        self.nodes.forget_gone(|node| at_node.contains_key(&node));
         let facts: Vec<NodeFacts> = self.nodes.entries().filter_map(facts).collect();
         if let Some(orders) = &mut self.orders {
             orders.overrides.nodes_listed(now, facts);
@@ -861,7 +967,7 @@
     fn send(&mut self, now: Instant, id: XferId, node: NodeId, timeout: Option<Span>) {
         let Some(x) = self.xfers.get_mut(&id) else { return };
         let until = timeout.map_or(x.expiry, |t| x.expiry.min(now + t));
-        let (no, st, v) = (x.legs, &self.streams[x.stream], self.layout.volume(x.volume));
+        let (no, st) = (x.legs, &self.streams[x.stream]);
         x.legs += 1;
         if let Some(place) = x.place.take() {
             self.sharing.sent(place);
@@ -882,14 +988,11 @@
             part: x.part,
             until,
             mark: if keyed { u128::from(self.life) << 64 | u128::from(x.serial) } else { 0 },
-            key: if st.in_order { x.spec.key } else { 0 },
-            volume: v.lun,
-            offset: x.spec.block * u64::from(v.block_bytes),
-            units: x.spec.units,
-            work: match &x.data {
-                Some(data) => LegWork::Write { data: data.clone() },
-                None => LegWork::Read { length: x.spec.blocks * v.block_bytes },
-            },
+            key: x.text.key,
+            volume: x.text.volume,
+            offset: x.text.offset,
+            units: x.text.units,
+            work: x.text.work.clone(),
             ticket,
         };
         self.outputs.push_back(Output::Send(Box::new(leg)));
@@ -915,12 +1018,8 @@
                 self.at_node.remove(&out.node);
             }
         }
-        let wanted = match x.data {
-            Some(_) => 0,
-            None => x.spec.blocks as usize * self.layout.volume(x.volume).block_bytes as usize,
-        };
         let mut outcome = o;
-        if outcome == Outcome::Done && data.len() != wanted {
+        if outcome == Outcome::Done && x.text.wanted().is_some_and(|wanted| data.len() != wanted) {
             // Bytes that are not those asked for must not pass for them.
             self.counters.short_answers += 1;
             outcome = Outcome::Error;
--- a/crates/hostcore/src/layout.rs
+++ b/crates/hostcore/src/layout.rs
@@ -15,7 +15,7 @@
     pub units: f64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Layout {
     volumes: Vec<Volume>,
     granules: Vec<Vec<Option<u64>>>, // by volume and stream: blocks that share an order key
--- a/crates/hostcore/src/lib.rs
+++ b/crates/hostcore/src/lib.rs
@@ -10,6 +10,7 @@
 mod layout;
 mod nodes;
 mod orders;
+mod placed;
 mod sharing;
 mod ticket;
 
@@ -19,5 +20,6 @@
 pub use layout::{Layout, Part};
 pub use nodes::{Age, ListEntry, Nodes, Start};
 pub use orders::{Ask, Keep, Orders, OrdersStatus, Reply};
+pub use placed::{Placed, PlacedSettings, Request, VolumeNames};
 pub use sharing::{LineName, Place, Sharing};
 pub use ticket::Ticket;
--- a/crates/hostcore/src/nodes.rs
+++ b/crates/hostcore/src/nodes.rs
@@ -1,11 +1,14 @@
 //! Node addresses and the small numbers by which the decision module knows them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use tackmast::interface::{Instant, NodeEntry, NodeId, NodeState, ShardId, Span, ZoneId};
 
 /// One line of a node list, as it came.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListEntry {
+    /// What the list calls the node; the same at all hosts and for good.
+    pub id: String,
+    /// Where this host reaches it; may change.
     pub address: String,
     pub state: NodeState,
     pub zone: ZoneId,
@@ -46,17 +49,22 @@
     now - age.max(Span::ZERO)
 }
 
-/// Nodes ever named to this life of the host. A number is never given to another address: what the module
-/// learned of a node must not pass to a stranger.
+/// Nodes named to this life of the host. A number is never given to another id: what the module learned of a node must
+/// not pass to a stranger. Those that are gone are remembered for a while, as the list may name them again.
 #[derive(Debug, Default)]
 pub struct Nodes {
     numbers: HashMap<String, NodeId>,
-    known: Vec<Known>,
+    known: BTreeMap<NodeId, Known>,
+    next: u32,
     most: usize,
 }
 
+/// Gone nodes that are remembered, at most.
+const GONE_KEPT: usize = 64;
+
 #[derive(Debug)]
 struct Known {
+    id: String,
     address: String,
     entry: NodeEntry,
     /// The list's figure for the start that was told last; 0: none.
@@ -70,17 +78,17 @@
 
     /// The entry under the node's number; none: the table is full.
     pub fn note(&mut self, now: Instant, e: &ListEntry) -> Option<NodeEntry> {
-        let number = match self.numbers.get(&e.address) {
+        let number = match self.numbers.get(&e.id) {
             Some(n) => *n,
             None if self.known.len() >= self.most => return None,
             None => {
-                let n = NodeId(self.known.len() as u32);
-                self.numbers.insert(e.address.clone(), n);
+                let n = NodeId(self.next);
+                self.next += 1;
+                self.numbers.insert(e.id.clone(), n);
                 n
             }
         };
-        let i = number.0 as usize;
-        let (known, name) = self.known.get(i).map_or((None, 0), |k| (k.entry.up_since, k.start));
+        let (known, name) = self.known.get(&number).map_or((None, 0), |k| (k.entry.up_since, k.start));
         let news = e.start.filter(|s| s.name != name).map(|s| started(now, s));
         // A late list must not take back a start that the node itself told of, nor tell the same one again.
         let up_since = match (known, news) {
@@ -89,17 +97,15 @@
         };
         let start = e.start.map_or(name, |s| s.name);
         let entry = NodeEntry { node: number, state: e.state, zone: e.zone, shard: e.shard, up_since };
-        match self.known.get_mut(i) {
-            Some(k) => (k.entry, k.start) = (entry, start),
-            None => self.known.push(Known { address: e.address.clone(), entry, start }),
-        }
+        let known = Known { id: e.id.clone(), address: e.address.clone(), entry, start };
+        self.known.insert(number, known);
         Some(entry)
     }
 
     /// A node's own word on when it started; the changed entry, if that is news.
     pub fn started(&mut self, now: Instant, node: NodeId, up: Span) -> Option<NodeEntry> {
         let up_since = now - up.max(Span::ZERO);
-        let k = self.known.get_mut(node.0 as usize)?;
+        let k = self.known.get_mut(&node)?;
         // One of which no start was told counts as long up. That it is must not pass for a start: what the module has
         // learned of it would be lost at the first link to each node, and what waits for the link sent anew.
         let news = match k.entry.up_since {
@@ -116,31 +122,44 @@
     /// What a complete list does not name is gone.
     pub fn only(&mut self, named: &[NodeEntry]) {
         let named: std::collections::HashSet<NodeId> = named.iter().map(|e| e.node).collect();
-        for k in self.known.iter_mut().filter(|k| !named.contains(&k.entry.node)) {
+        for k in self.known.values_mut().filter(|k| !named.contains(&k.entry.node)) {
             k.entry.state = NodeState::Gone;
         }
     }
 
     pub fn address(&self, node: NodeId) -> Option<&str> {
-        self.known.get(node.0 as usize).map(|k| k.address.as_str())
+        self.known.get(&node).map(|k| k.address.as_str())
     }
 
     /// As the list has it.
     pub fn entry(&self, node: NodeId) -> Option<NodeEntry> {
-        self.known.get(node.0 as usize).map(|k| k.entry)
+        self.known.get(&node).map(|k| k.entry)
     }
 
     /// The list's figure for the start that was told last; 0: none.
     pub fn start_name(&self, node: NodeId) -> u64 {
-        self.known.get(node.0 as usize).map_or(0, |k| k.start)
+        self.known.get(&node).map_or(0, |k| k.start)
+    }
+
+    /// By its id; where the list has no other, that is its address.
+    pub fn number(&self, id: &str) -> Option<NodeId> {
+        self.numbers.get(id).copied()
     }
 
-    pub fn number(&self, address: &str) -> Option<NodeId> {
-        self.numbers.get(address).copied()
+    /// Against a table that fills under new ids without end: of the nodes that are gone and not in use, the longest known
+    /// are forgotten.
+    pub fn forget_gone(&mut self, in_use: impl Fn(NodeId) -> bool) {
+        let gone = |k: &&Known| k.entry.state == NodeState::Gone && !in_use(k.entry.node);
+        let gone: Vec<NodeId> = self.known.values().filter(gone).map(|k| k.entry.node).collect();
+        for node in &gone[..gone.len().saturating_sub(GONE_KEPT)] {
+            if let Some(k) = self.known.remove(node) {
+                self.numbers.remove(&k.id);
+            }
+        }
     }
 
     pub fn entries(&self) -> impl Iterator<Item = (&str, &NodeEntry)> {
-        self.known.iter().map(|k| (k.address.as_str(), &k.entry))
+        self.known.values().map(|k| (k.address.as_str(), &k.entry))
     }
 }
 
@@ -179,7 +198,8 @@
                 match t {
                     Ok(start) => {
                         let (state, zone, shard) = (NodeState::Ready, ZoneId(0), ShardId(0));
-                        let entry = ListEntry { address: "a".into(), state, zone, shard, start };
+                        let entry =
+                            ListEntry { id: "a".into(), address: "a".into(), state, zone, shard, start };
                         found = nodes.note(now, &entry).and_then(|e| e.up_since);
                     }
                     Err(up) => _ = nodes.started(now, NodeId(0), s(up)),
--- /dev/null
+++ b/crates/hostcore/src/placed.rs
@@ -0,0 +1,109 @@
+//! Transfers that arrive already placed: their client names volume, plan, stream type, shard and key, and the host only
+//! decides when and whether they leave. What they ask of the node is opaque here.
+
+use bytes::Bytes;
+use std::collections::HashMap;
+use tackmast::interface::{Instant, PlanId, ShardId, Span, StreamId};
+use tackmast_config::Stream;
+
+/// What is written to a node: the protocol's own, but for the time left, which each leg adds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Request {
+    pub head: Bytes,
+    pub body: Bytes,
+}
+
+impl Request {
+    pub fn bytes(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Placed {
+    pub volume: u64,
+    pub plan: PlanId,
+    pub stream: StreamId,
+    /// None: a new object, for any node.
+    pub shard: Option<ShardId>,
+    pub key: u64,
+    pub units: f64,
+    /// Through how many hosts the volume's transfers come.
+    pub hosts: u32,
+    pub left: Span,
+    pub request: Request,
+}
+
+/// What a core is told that has no volumes of its own.
+#[derive(Clone, Debug)]
+pub struct PlacedSettings {
+    pub streams: Vec<Stream>,
+    pub tells: bool,
+    pub longest_wait: Span,
+    /// Of a node that drains.
+    pub grace: Span,
+    pub transfers: usize,
+    pub bytes: usize,
+    pub nodes: usize,
+    pub volumes: usize,
+}
+
+/// Clients' names of volumes, as the small numbers by which the module knows them.
+#[derive(Debug, Default)]
+pub struct VolumeNames {
+    numbers: HashMap<u64, (usize, Instant)>,
+    next: usize,
+    most: usize,
+}
+
+impl VolumeNames {
+    pub fn new(most: usize) -> Self {
+        VolumeNames { most, ..VolumeNames::default() }
+    }
+
+    pub fn len(&self) -> usize {
+        self.numbers.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.numbers.is_empty()
+    }
+
+    /// The volume's number. In a full table the one that was used longest ago gives way, unless it is in use: then
+    /// there is none. A number never passes to another volume, so nothing learned of one is held against it.
+    pub fn number(&mut self, now: Instant, name: u64, in_use: impl Fn(usize) -> bool) -> Option<usize> {
+        if let Some((number, used)) = self.numbers.get_mut(&name) {
+            *used = now;
+            return Some(*number);
+        }
+        if self.numbers.len() >= self.most {
+            let oldest = self.numbers.iter().min_by_key(|(name, (_, used))| (*used, **name));
+            let (old, (number, _)) = oldest.map(|(name, n)| (*name, *n))?;
+            if in_use(number) {
+                return None;
+            }
+            self.numbers.remove(&old);
+        }
+        let number = self.next;
+        self.next += 1;
+        self.numbers.insert(name, (number, now));
+        Some(number)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_full_table_of_volumes_lets_the_longest_unused_go() {
+        let at = |s: u32| Instant::from_secs(f64::from(s));
+        let mut v = VolumeNames::new(2);
+        // Name, the number in use, and the number that is given.
+        let asks = [(7, 99, Some(0)), (8, 99, Some(1)), (7, 99, Some(0)), (9, 99, Some(2)), (8, 0, None)];
+        for (i, (name, used, expected)) in asks.into_iter().enumerate() {
+            assert_eq!(v.number(at(i as u32), name, |n| n == used), expected, "ask {i}");
+            assert!(v.len() <= 2);
+        }
+    }
+}
--- a/crates/hostcore/src/ticket.rs
+++ b/crates/hostcore/src/ticket.rs
@@ -34,6 +34,9 @@
     pub fn is_claimed(&self) -> bool {
         matches!(self.0.load(Ordering::Acquire), CLAIMED | WRITTEN)
     }
+    pub fn is_withdrawn(&self) -> bool {
+        self.0.load(Ordering::Acquire) == WITHDRAWN
+    }
     /// Whether its link is still at it: the node takes no bytes.
     pub fn is_stuck(&self) -> bool {
         self.0.load(Ordering::Acquire) == CLAIMED
--- a/crates/hostcore/tests/core.rs
+++ b/crates/hostcore/tests/core.rs
@@ -62,7 +62,14 @@
 }
 
 fn entry(address: &str, shard: u32, state: NodeState) -> ListEntry {
-    ListEntry { address: address.into(), state, zone: ZoneId(0), shard: ShardId(shard), start: None }
+    ListEntry {
+        id: address.into(),
+        address: address.into(),
+        state,
+        zone: ZoneId(0),
+        shard: ShardId(shard),
+        start: None,
+    }
 }
 
 impl Rig {
--- /dev/null
+++ b/crates/http/src/answer.rs
@@ -0,0 +1,84 @@
+//! Answers, as nodes and the node list send them.
+
+use crate::body::{BodyReader, Framing};
+use crate::head::{Headers, FIELDS};
+use crate::{Bad, Bounds};
+use bytes::{Buf, Bytes, BytesMut};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: Bytes,
+    /// The connection ends with this answer.
+    pub closes: bool,
+}
+
+/// The answer to one request.
+#[derive(Debug)]
+pub struct AnswerReader {
+    bounds: Bounds,
+    buffer: BytesMut,
+    head: Option<(Answer, BodyReader)>,
+    /// Bytes of interim answers so far.
+    interim: usize,
+}
+
+impl AnswerReader {
+    pub fn new(bounds: Bounds) -> Self {
+        AnswerReader { bounds, buffer: BytesMut::new(), head: None, interim: 0 }
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes beyond the answer. Nothing was asked that they could belong to.
+    pub fn has_more(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The answer, once it is whole.
+    pub fn answer(&mut self) -> Result<Option<Answer>, Bad> {
+        while self.head.is_none() {
+            let Some((answer, framing, length)) = head(&self.buffer, self.bounds)? else { return Ok(None) };
+            self.buffer.advance(length);
+            if (100..200).contains(&answer.status) {
+                // 101 would change the protocol, for which nobody asked.
+                self.interim += length;
+                if answer.status == 101 || self.interim > self.bounds.head {
+                    return Err(Bad::Head);
+                }
+                continue;
+            }
+            let none = matches!(answer.status, 204 | 304);
+            let framing = if none { Some(Framing::Length(0)) } else { framing };
+            // One that ends with its connection can't be told from one that was cut off.
+            let reader = BodyReader::new(framing.ok_or(Bad::NoLength)?, self.bounds.body)?;
+            self.head = Some((answer, reader));
+        }
+        let Some((_, reader)) = &mut self.head else { return Ok(None) };
+        let Some(body) = reader.take(&mut self.buffer)? else { return Ok(None) };
+        Ok(self.head.take().map(|(answer, _)| Answer { body: body.freeze(), ..answer }))
+    }
+}
+
+fn head(bytes: &[u8], bounds: Bounds) -> Result<Option<(Answer, Option<Framing>, usize)>, Bad> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let status = parsed.parse(bytes).map_err(|e| match e {
+        httparse::Error::TooManyHeaders => Bad::LongHead,
+        _ => Bad::Head,
+    })?;
+    let httparse::Status::Complete(length) = status else {
+        return if bytes.len() >= bounds.head { Err(Bad::LongHead) } else { Ok(None) };
+    };
+    let (Some(status), Some(version)) = (parsed.code, parsed.version) else { return Err(Bad::Head) };
+    if length > bounds.head || status < 100 {
+        return Err(Bad::LongHead);
+    }
+    let headers = Headers::of(parsed.headers)?;
+    let framing = if status < 200 { None } else { headers.framing()? };
+    let closes = headers.closes(version == 0);
+    Ok(Some((Answer { status, headers, body: Bytes::new(), closes }, framing, length)))
+}
--- /dev/null
+++ b/crates/httphost/src/links.rs
@@ -0,0 +1,291 @@
+//! Connections to nodes: one leg at a time on each.
+
+use crate::poller::{Poller, Ready, Token, BOTH, READ, WRITE};
+use crate::pool::Idle;
+use crate::wire::{self, Got};
+use bytes::{Bytes, BytesMut};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use tackmast::interface::{Instant, NodeId, Outcome, Span};
+use tackmast_hostcore::{LegBack, LegId, LegWork, SendLeg};
+use tackmast_http::{AnswerReader, Bounds};
+use tackmast_platform::{leg_head, Reports};
+
+/// Of the time after which nodes close idle connections, the part after which the host does: a request must not cross.
+const IDLE_PART: f64 = 0.8;
+
+enum State {
+    Connecting { until: Instant, leg: Box<SendLeg> },
+    Busy { leg: Box<SendLeg>, out: BytesMut, answer: Box<AnswerReader> },
+    Idle,
+}
+
+struct Link {
+    node: NodeId,
+    address: SocketAddr,
+    stream: TcpStream,
+    state: State,
+}
+
+/// What the links have done, for logs and tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkCounters {
+    pub opened: u64,
+    pub reused: u64,
+    pub spoilt: u64,
+    pub reset: u64,
+    pub no_connection: u64,
+    pub given_up: u64,
+    pub waited: u64,
+}
+
+pub struct Links {
+    links: BTreeMap<u32, Link>,
+    idle: Idle,
+    by_leg: HashMap<LegId, u32>,
+    /// Legs without a connection, as all are in use.
+    waiting: VecDeque<SendLeg>,
+    next: u32,
+    most: usize,
+    connect: Span,
+    idle_most: Span,
+    reports: Reports,
+    pub counters: LinkCounters,
+}
+
+impl Links {
+    /// `most` connections; `connect` is the time to come up in, `idle` when nodes close one (zero: not told).
+    pub fn new(most: usize, connect: Span, idle: Span, reports: Reports) -> Self {
+        let keep = if idle > Span::ZERO { idle.secs() * IDLE_PART } else { 10.0 };
+        Links {
+            links: BTreeMap::new(),
+            idle: Idle::default(),
+            by_leg: HashMap::new(),
+            waiting: VecDeque::new(),
+            next: 0,
+            most,
+            connect,
+            idle_most: Span::from_secs(keep),
+            reports,
+            counters: LinkCounters::default(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// A leg leaves for a node at its present address.
+    pub fn send(
+        &mut self,
+        now: Instant,
+        poller: &Poller,
+        to: Option<SocketAddr>,
+        leg: SendLeg,
+        back: &mut Vec<LegBack>,
+    ) {
+        let Some(to) = to else { return back.push(ended(leg.leg, Outcome::Refused)) };
+        while let Some(id) = self.idle.take(leg.node) {
+            let good = self.links.get(&id).is_some_and(|l| l.address == to && wire::is_quiet(&l.stream));
+            if good {
+                self.counters.reused += 1;
+                return self.begin(now, poller, id, leg, back);
+            }
+            self.links.remove(&id); // closed by its node while idle, or the node has moved
+        }
+        if self.links.len() >= self.most {
+            if let Some((node, id)) = self.idle.oldest(Span::ZERO, now) {
+                self.close(node, id);
+            }
+        }
+        if self.links.len() >= self.most {
+            self.counters.waited += 1;
+            return self.waiting.push_back(leg);
+        }
+        let id = self.next;
+        let stream = match wire::connect(to) {
+            Ok(s) if poller.add(&s, Token::Link(id), WRITE).is_ok() => s,
+            _ => {
+                self.counters.no_connection += 1;
+                return back.push(ended(leg.leg, Outcome::Refused));
+            }
+        };
+        self.next = self.next.wrapping_add(1);
+        self.counters.opened += 1;
+        self.by_leg.insert(leg.leg, id);
+        let state = State::Connecting { until: now + self.connect, leg: Box::new(leg) };
+        let node = match &state {
+            State::Connecting { leg, .. } => leg.node,
+            _ => return,
+        };
+        self.links.insert(id, Link { node, address: to, stream, state });
+    }
+
+    /// The connection stands: the leg's bytes leave, unless it was taken back.
+    fn begin(&mut self, now: Instant, poller: &Poller, id: u32, leg: SendLeg, back: &mut Vec<LegBack>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if !leg.ticket.claim() {
+            self.by_leg.remove(&leg.leg);
+            link.state = State::Idle;
+            poller.change(&link.stream, Token::Link(id), READ);
+            return self.idle.put(now, link.node, id);
+        }
+        let rest = leg_head(link.address, leg.until - now);
+        let (head, body): (&[u8], &[u8]) = match &leg.work {
+            LegWork::Request(r) => (&r.head, &r.body),
+            LegWork::Write { .. } | LegWork::Read { .. } => (&[], &[]),
+        };
+        let mut out = BytesMut::with_capacity(head.len() + rest.len() + body.len());
+        [head, rest.as_bytes(), body].iter().for_each(|part| out.extend_from_slice(part));
+        self.by_leg.insert(leg.leg, id);
+        let answer = Box::new(AnswerReader::new(Bounds::default()));
+        link.state = State::Busy { leg: Box::new(leg), out, answer };
+        self.write(poller, id, back);
+    }
+
+    fn write(&mut self, poller: &Poller, id: u32, back: &mut Vec<LegBack>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let State::Busy { leg, out, .. } = &mut link.state else { return };
+        match wire::write(&link.stream, out) {
+            // What was not written whole never ran.
+            Err(_) => self.end(id, Outcome::Refused, back),
+            Ok(()) if out.is_empty() => {
+                leg.ticket.written();
+                poller.change(&link.stream, Token::Link(id), READ);
+            }
+            Ok(()) => poller.change(&link.stream, Token::Link(id), BOTH),
+        }
+    }
+
+    pub fn ready(&mut self, now: Instant, poller: &Poller, id: u32, r: Ready, back: &mut Vec<LegBack>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        match &mut link.state {
+            State::Idle => {
+                let node = link.node;
+                self.close(node, id);
+            }
+            State::Connecting { .. } => {
+                let broken =
+                    !matches!(link.stream.take_error(), Ok(None)) || link.stream.peer_addr().is_err();
+                if broken {
+                    self.counters.no_connection += 1;
+                    return self.end(id, Outcome::Refused, back);
+                }
+                if let State::Connecting { leg, .. } = std::mem::replace(&mut link.state, State::Idle) {
+                    self.begin(now, poller, id, *leg, back);
+                }
+            }
+            State::Busy { .. } => {
+                if r.write {
+                    self.write(poller, id, back);
+                }
+                if r.read || r.ended {
+                    self.read(now, id, back);
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, now: Instant, id: u32, back: &mut Vec<LegBack>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let State::Busy { leg, out, answer } = &mut link.state else { return };
+        let mut piece = [0; wire::PIECE];
+        let unsent = !out.is_empty();
+        match wire::read(&link.stream, &mut piece) {
+            Got::Nothing => return,
+            Got::End => {
+                self.counters.reset += u64::from(!unsent);
+                return self.end(id, if unsent { Outcome::Refused } else { Outcome::Reset }, back);
+            }
+            Got::Bytes(n) => answer.push(&piece[..n]),
+        }
+        match answer.answer() {
+            Ok(None) => {}
+            Ok(Some(a)) => {
+                let (closes, more) = (a.closes, answer.has_more());
+                let mut came = self.reports.read(a);
+                if unsent && came.outcome == Outcome::Done {
+                    came.outcome = Outcome::Error; // it can't have been made for this request
+                }
+                let (leg_id, node) = (leg.leg, link.node);
+                let (outcome, waiting) = (came.outcome, came.waiting);
+                // A node that says nothing of other hosts says that there was nothing.
+                let elsewhere = Some(came.elsewhere.unwrap_or(0.0));
+                back.push(LegBack { leg: leg_id, outcome, waiting, elsewhere, data: came.body });
+                self.by_leg.remove(&leg_id);
+                if closes || more || unsent {
+                    self.links.remove(&id);
+                } else {
+                    link.state = State::Idle;
+                    self.idle.put(now, node, id);
+                }
+            }
+            Err(why) => {
+                self.counters.spoilt += 1;
+                tracing::debug!(node = link.node.0, %why, "an answer can't be read");
+                self.end(id, Outcome::Error, back);
+            }
+        }
+    }
+
+    /// The leg has its end, and its connection with it.
+    fn end(&mut self, id: u32, outcome: Outcome, back: &mut Vec<LegBack>) {
+        let Some(link) = self.links.remove(&id) else { return };
+        if let State::Busy { leg, .. } | State::Connecting { leg, .. } = link.state {
+            self.by_leg.remove(&leg.leg);
+            back.push(ended(leg.leg, outcome));
+        }
+    }
+
+    fn close(&mut self, node: NodeId, id: u32) {
+        self.idle.remove(node, id);
+        self.links.remove(&id);
+    }
+
+    /// Nobody waits for this leg any more. Its connection closes: nothing that left can be called back otherwise.
+    pub fn give_up(&mut self, leg: LegId) {
+        match self.by_leg.remove(&leg) {
+            Some(id) => {
+                self.counters.given_up += 1;
+                self.links.remove(&id);
+            }
+            None => self.waiting.retain(|l| l.leg != leg),
+        }
+    }
+
+    /// Nodes that are gone, or have moved, keep no idle connection.
+    pub fn keep_where(&mut self, good: impl Fn(NodeId, SocketAddr) -> bool) {
+        let idle = |(id, l): (&u32, &Link)| {
+            (matches!(l.state, State::Idle) && !good(l.node, l.address)).then_some((l.node, *id))
+        };
+        let old: Vec<_> = self.links.iter().filter_map(idle).collect();
+        old.into_iter().for_each(|(node, id)| self.close(node, id));
+    }
+
+    /// Time has passed: connections that did not come up, and old idle ones.
+    pub fn tick(&mut self, now: Instant, back: &mut Vec<LegBack>) {
+        let late = |l: &Link| matches!(&l.state, State::Connecting { until, .. } if *until <= now);
+        let late: Vec<u32> = self.links.iter().filter(|(_, l)| late(l)).map(|(id, _)| *id).collect();
+        for id in late {
+            self.counters.no_connection += 1;
+            self.end(id, Outcome::Refused, back);
+        }
+        while let Some((node, id)) = self.idle.oldest(self.idle_most, now) {
+            self.close(node, id);
+        }
+    }
+
+    /// The leg that has waited longest for a connection, if there is room for it now.
+    pub fn next_waiting(&mut self) -> Option<SendLeg> {
+        let room = self.links.len() < self.most || self.idle.len() > 0;
+        if room {
+            self.waiting.pop_front()
+        } else {
+            None
+        }
+    }
+}
+
+fn ended(leg: LegId, outcome: Outcome) -> LegBack {
+    LegBack { leg, outcome, waiting: None, elsewhere: Some(0.0), data: Bytes::new() }
+}
--- /dev/null
+++ b/crates/httphost/src/poller.rs
@@ -0,0 +1,113 @@
+//! Readiness of sockets, by level: what is left unread is told of again at the next turn, so work per turn can be bounded.
+
+use rustix::event::epoll::{self, CreateFlags, Event, EventData, EventFlags};
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::Duration;
+
+/// Who a socket belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Token {
+    /// The node list comes first in a turn: what it tells counts from when it was written to this host.
+    List(u32),
+    Signal(u32),
+    Link(u32),
+    Client(u32),
+    Listener,
+}
+
+impl Token {
+    fn data(self) -> EventData {
+        let (kind, n) = match self {
+            Token::List(n) => (0, n),
+            Token::Signal(n) => (1, n),
+            Token::Link(n) => (2, n),
+            Token::Client(n) => (3, n),
+            Token::Listener => (4, 0),
+        };
+        EventData::new_u64(kind << 32 | u64::from(n))
+    }
+
+    fn of(data: u64) -> Self {
+        let n = data as u32;
+        match data >> 32 {
+            0 => Token::List(n),
+            1 => Token::Signal(n),
+            2 => Token::Link(n),
+            3 => Token::Client(n),
+            _ => Token::Listener,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ready {
+    pub token: Token,
+    pub read: bool,
+    pub write: bool,
+    /// The other side has ended its sending, or the connection is broken.
+    pub ended: bool,
+}
+
+/// What is waited for. The end of a connection is always told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Interest {
+    pub read: bool,
+    pub write: bool,
+}
+
+pub const READ: Interest = Interest { read: true, write: false };
+pub const WRITE: Interest = Interest { read: false, write: true };
+pub const BOTH: Interest = Interest { read: true, write: true };
+
+impl Interest {
+    fn flags(self) -> EventFlags {
+        let mut flags = EventFlags::RDHUP;
+        flags.set(EventFlags::IN, self.read);
+        flags.set(EventFlags::OUT, self.write);
+        flags
+    }
+}
+
+/// Events taken in one turn, at most.
+const TURN: usize = 256;
+
+pub struct Poller {
+    epoll: OwnedFd,
+    events: Vec<Event>,
+}
+
+impl Poller {
+    pub fn new() -> std::io::Result<Self> {
+        Ok(Poller { epoll: epoll::create(CreateFlags::CLOEXEC)?, events: Vec::with_capacity(TURN) })
+    }
+
+    pub fn add(&self, fd: impl AsFd, token: Token, i: Interest) -> std::io::Result<()> {
+        Ok(epoll::add(&self.epoll, fd, token.data(), i.flags())?)
+    }
+
+    /// A socket leaves by being closed.
+    pub fn change(&self, fd: impl AsFd, token: Token, i: Interest) {
+        _ = epoll::modify(&self.epoll, fd, token.data(), i.flags());
+    }
+
+    /// What is ready within the time, the list first.
+    pub fn wait(&mut self, most: Duration, ready: &mut Vec<Ready>) {
+        self.events.clear();
+        let most =
+            rustix::event::Timespec { tv_sec: most.as_secs() as i64, tv_nsec: most.subsec_nanos().into() };
+        // Cut short by a signal: its pipe is ready at the next turn.
+        _ = epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.events), Some(&most));
+        ready.clear();
+        ready.extend(self.events.iter().map(|e| {
+            let flags = e.flags;
+            let has = |f| flags.intersects(f);
+            Ready {
+                token: Token::of({ e.data }.u64()),
+                read: has(EventFlags::IN),
+                write: has(EventFlags::OUT),
+                ended: has(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR),
+            }
+        }));
+        ready.sort_by_key(|r| r.token);
+    }
+}
--- /dev/null
+++ b/crates/httphost/src/pool.rs
@@ -0,0 +1,172 @@
+//! Which connection is reused, closed or given up for another, and how descriptors and bytes are split. No I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+use tackmast::interface::{Instant, NodeId, Span};
+use tackmast_platform::Limits;
+
+/// Descriptors that are not connections of clients or nodes: the standard three, epoll, signals, listener, node list old
+/// and new, the configuration file, and a few to accept with.
+const OWN_SOCKETS: usize = 24;
+/// Of the others, clients get this part: silent ones come by the hundred, while legs out are capped by the module.
+const CLIENTS_PART: f64 = 0.6;
+/// Of the memory, what may stand in buffers. The rest is the program, its tables, and what the allocator keeps.
+const BYTES_PART: f64 = 0.25;
+/// A transfer's tables, roughly; so many fit into the same part again.
+const TRANSFER_BYTES: usize = 4096;
+
+/// What the host may hold, from the platform's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Split {
+    pub clients: usize,
+    pub links: usize,
+    pub bytes: usize,
+    pub transfers: usize,
+}
+
+impl Split {
+    pub fn of(limits: &Limits) -> Self {
+        let free = limits.sockets.saturating_sub(OWN_SOCKETS);
+        let clients = (free as f64 * CLIENTS_PART) as usize;
+        let bytes = (limits.memory_bytes as f64 * BYTES_PART) as usize;
+        // A client has one request open; the table of transfers has room for all that fit.
+        let transfers = (bytes / TRANSFER_BYTES).min(clients * 2);
+        Split { clients, links: free - clients, bytes, transfers }
+    }
+}
+
+/// How far a client's connection is, for the choice which one has to go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Has its last answer; only its end is awaited.
+    Over,
+    /// Has not made one good request: has said nothing, or a part.
+    Unproven,
+    /// Between requests for long enough that its client counts on its end.
+    Idle,
+    /// Between requests for a moment.
+    Resting,
+    /// In the middle of a request's bytes.
+    Midway,
+    /// Owed an answer.
+    Busy,
+}
+
+/// A connection between requests may be closed after this.
+pub const IDLE_AFTER: f64 = 2.0; // seconds
+
+/// The client to give up for a new one: the lowest stage, in it the longest there. One that is owed an answer never goes.
+pub fn evicted(clients: impl Iterator<Item = (u32, Stage, Instant)>) -> Option<u32> {
+    let may = clients.filter(|(_, stage, _)| *stage < Stage::Busy);
+    may.min_by_key(|(id, stage, since)| (*stage, *since, *id)).map(|(id, _, _)| id)
+}
+
+/// Idle connections to nodes.
+#[derive(Debug, Default)]
+pub struct Idle {
+    by_node: BTreeMap<NodeId, Vec<(u32, Instant)>>,
+    by_age: BTreeSet<(Instant, NodeId, u32)>,
+}
+
+impl Idle {
+    pub fn put(&mut self, now: Instant, node: NodeId, link: u32) {
+        self.by_node.entry(node).or_default().push((link, now));
+        self.by_age.insert((now, node, link));
+    }
+
+    /// The one used last: the others may age until they close.
+    pub fn take(&mut self, node: NodeId) -> Option<u32> {
+        let (link, since) = *self.by_node.get(&node)?.last()?;
+        self.remove_at(since, node, link);
+        Some(link)
+    }
+
+    pub fn remove(&mut self, node: NodeId, link: u32) {
+        let all = self.by_node.get(&node);
+        if let Some((_, since)) = all.and_then(|v| v.iter().find(|(l, _)| *l == link)).copied() {
+            self.remove_at(since, node, link);
+        }
+    }
+
+    fn remove_at(&mut self, since: Instant, node: NodeId, link: u32) {
+        self.by_age.remove(&(since, node, link));
+        if let Some(all) = self.by_node.get_mut(&node) {
+            all.retain(|(l, _)| *l != link);
+            if all.is_empty() {
+                self.by_node.remove(&node);
+            }
+        }
+    }
+
+    /// The one idle for longest, at whatever node: to make room, or if it has been so for longer than `keep`.
+    pub fn oldest(&self, idle_at_least: Span, now: Instant) -> Option<(NodeId, u32)> {
+        let (since, node, link) = self.by_age.first().copied()?;
+        (now - since >= idle_at_least).then_some((node, link))
+    }
+
+    pub fn at(&self, node: NodeId) -> Vec<u32> {
+        self.by_node.get(&node).into_iter().flatten().map(|(l, _)| *l).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_age.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_age.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(s: f64) -> Instant {
+        Instant::from_secs(s)
+    }
+
+    #[test]
+    fn descriptors_and_bytes_are_split_within_the_limits() {
+        const MB: usize = 1024 * 1024;
+        // Sockets, megabytes; least clients and links that must be there.
+        for (sockets, mb, clients, links) in
+            [(64, 16, 20, 12), (256, 32, 86, 80), (1024, 192, 342, 300), (4096, 2048, 1366, 600)]
+        {
+            let s = Split::of(&Limits { cores: 0.3, memory_bytes: mb * MB, sockets });
+            assert!(s.clients + s.links + OWN_SOCKETS <= sockets, "{s:?}");
+            assert!(s.clients >= clients && s.links >= links, "{sockets}: {s:?}");
+            assert!(s.bytes + s.transfers * TRANSFER_BYTES <= mb * MB / 2, "{s:?}");
+        }
+    }
+
+    #[test]
+    fn who_is_owed_least_goes_first() {
+        use Stage::*;
+        let cases: Vec<(&str, Vec<(u32, Stage, f64)>, Option<u32>)> = vec![
+            ("nobody", vec![], None),
+            ("all are owed an answer", vec![(1, Busy, 0.0), (2, Busy, 1.0)], None),
+            ("over before silent", vec![(1, Unproven, 0.0), (2, Over, 9.0)], Some(2)),
+            ("the longest silent", vec![(1, Unproven, 5.0), (2, Unproven, 4.0), (3, Idle, 0.0)], Some(2)),
+            ("idle before midway", vec![(1, Midway, 0.0), (2, Idle, 3.0), (3, Resting, 1.0)], Some(2)),
+            ("at a pinch one in the middle", vec![(1, Midway, 2.0), (2, Busy, 0.0)], Some(1)),
+        ];
+        for (name, clients, expected) in cases {
+            assert_eq!(evicted(clients.into_iter().map(|(c, s, t)| (c, s, at(t)))), expected, "{name}");
+        }
+    }
+
+    #[test]
+    fn the_link_used_last_is_taken_and_the_oldest_closed() {
+        let mut idle = Idle::default();
+        let (a, b) = (NodeId(1), NodeId(2));
+        for (t, node, link) in [(1.0, a, 10), (2.0, a, 11), (3.0, b, 12), (4.0, a, 13)] {
+            idle.put(at(t), node, link);
+        }
+        assert_eq!((idle.take(a), idle.take(b), idle.take(b)), (Some(13), Some(12), None));
+        assert_eq!(idle.oldest(Span::from_secs(4.5), at(5.0)), None);
+        assert_eq!(idle.oldest(Span::from_secs(4.0), at(5.0)), Some((a, 10)));
+        idle.remove(a, 10);
+        assert_eq!((idle.at(a), idle.len()), (vec![11], 1));
+        idle.remove(a, 11);
+        assert!(idle.is_empty() && idle.by_node.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/httphost/src/wire.rs
@@ -0,0 +1,58 @@
+//! Nonblocking sockets: connecting, reading a bounded piece, writing what fits.
+
+use bytes::{Buf, BytesMut};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// Bytes read from one socket in one turn, at most.
+pub const PIECE: usize = 16 * 1024;
+
+/// Begins to connect; writable once it stands or has failed.
+pub fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(to), socket2::Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&to.into()) {
+        Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
+pub enum Got {
+    Bytes(usize),
+    Nothing,
+    End,
+}
+
+pub fn read(mut from: &TcpStream, into: &mut [u8]) -> Got {
+    loop {
+        return match from.read(into) {
+            Ok(0) => Got::End,
+            Ok(n) => Got::Bytes(n),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Got::Nothing,
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(_) => Got::End,
+        };
+    }
+}
+
+/// Writes what the socket takes; an error says that the connection is broken.
+pub fn write(mut to: &TcpStream, out: &mut BytesMut) -> std::io::Result<()> {
+    while !out.is_empty() {
+        match to.write(out) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => out.advance(n),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    *out = BytesMut::new(); // a long one must not be kept by an idle connection
+    Ok(())
+}
+
+/// Whether an idle connection is still good: nothing has come on it, not even its end.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0u8; 1];
+    matches!(stream.peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -12,7 +12,7 @@
 use tackmast_config::HostSettings;
 use tackmast_hostcore::{
     member_settings, Age, Ask, CommandRef, Core, Fellows, Keep, LegBack, LegId, LegWork, ListEntry, Output,
-    Reply, SendLeg, Start, Verdict, Work,
+    Reply, Request, SendLeg, Start, Verdict, Work,
 };
 use tackmast_overrides::{Kind as OrderKind, Order, Override, OverrideId, Overrides, Target};
 use tackmast_standins::model::{How, Ills, Job, Model, Nature};
@@ -1195,7 +1195,9 @@
                 units: leg.units as f32,
                 work: match &leg.work {
                     LegWork::Read { length } => node::Work::Read { length: *length },
-                    LegWork::Write { data } => node::Work::Write { data: data.clone() },
+                    LegWork::Write { data } | LegWork::Request(Request { body: data, .. }) => {
+                        node::Work::Write { data: data.clone() }
+                    }
                 },
             })
             .to_bytes()
@@ -1203,7 +1205,9 @@
         // A leg counts from when its host sends it: what the network holds back after that is no fault of its.
         let (write, length) = match &leg.work {
             LegWork::Read { length } => (false, u64::from(*length)),
-            LegWork::Write { data } => (true, data.len() as u64),
+            LegWork::Write { data } | LegWork::Request(Request { body: data, .. }) => {
+                (true, data.len() as u64)
+            }
         };
         let address = self.nodes[n as usize].address.clone();
         let seen = |leg_no: u8| tackmast_trace::Event::Leg {
@@ -1549,6 +1553,7 @@
                 Start { name: started_us, age }
             });
             lines.push(ListEntry {
+                id: address.clone(),
                 address: address.clone(),
                 state: if ignored { NodeState::Ready } else { state },
                 zone: ZoneId(self.nodes[*i as usize].zone),
--- a/crates/measure/src/core_cost.rs
+++ b/crates/measure/src/core_cost.rs
@@ -66,6 +66,7 @@
         core.with_overrides(seconds(0), o, Keep::default());
     }
     let node = |n: u32| ListEntry {
+        id: n.to_string(),
         address: format!("127.0.0.1:{}", 1000 + n),
         state: NodeState::Ready,
         zone: ZoneId(0),
--- /dev/null
+++ b/crates/platform/src/outcome.rs
@@ -0,0 +1,80 @@
+//! What goes to a node with each leg, and what its answer means.
+
+use crate::settings::Settings;
+use bytes::Bytes;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use tackmast::interface::{Outcome, Span};
+use tackmast_http::Answer;
+
+/// The rest of a leg's head, after what its transfer says: which node, and how long the host will wait.
+pub fn leg_head(node: SocketAddr, left: Span) -> String {
+    let ms = (left.secs() * 1e3).floor().max(0.0) as u64;
+    format!("Host: {node}\r\nX-Budget-Ms: {ms}\r\n\r\n")
+}
+
+/// A node's answer, as values.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Came {
+    pub outcome: Outcome,
+    /// Transfers that wait at the node, where it told.
+    pub waiting: Option<u32>,
+    /// Units served for the volume through other hosts.
+    pub elsewhere: Option<f64>,
+    pub body: Bytes,
+}
+
+/// Which of the headers count, by the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Reports {
+    waiting: bool,
+}
+
+impl Reports {
+    pub fn of(s: &Settings) -> Self {
+        Reports { waiting: s.waiting_at().is_some() }
+    }
+
+    pub fn read(&self, a: Answer) -> Came {
+        let never_ran = matches!(a.status, 503 | 504) && a.headers.first("x-rejected") == Some("1");
+        let outcome = match a.status {
+            200 => Outcome::Done,
+            _ if never_ran => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        let report = a.headers.first("x-load-report").filter(|_| self.waiting);
+        let elsewhere = a.headers.first("x-delta").and_then(|v| v.trim().parse::<f64>().ok());
+        Came {
+            outcome,
+            waiting: report.and_then(waiting),
+            elsewhere: elsewhere.filter(|e| e.is_finite() && *e >= 0.0),
+            body: if outcome == Outcome::Done { a.body } else { Bytes::new() },
+        }
+    }
+}
+
+/// `inflight=7,queue=2,util=0.61`: a report that can't be read whole is passed over.
+fn waiting(report: &str) -> Option<u32> {
+    let mut found = None;
+    for pair in report.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value: f64 = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+        if matches!(name.trim(), "queue" | "q") {
+            found = Some(value.min(f64::from(u32::MAX)) as u32);
+        }
+    }
+    found
+}
+
+/// The head of an answer to a client.
+pub fn answer_head(status: u16, length: usize, come_back: Option<Span>, closes: bool) -> String {
+    let mut text =
+        format!("HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", tackmast_http::reason(status));
+    if let Some(wait) = come_back {
+        _ = write!(text, "Retry-After: {:.3}\r\n", wait.secs());
+    }
+    if closes {
+        text += "Connection: close\r\n";
+    }
+    text + "\r\n"
+}
--- /dev/null
+++ b/crates/platform/src/settings.rs
@@ -0,0 +1,184 @@
+//! The settings object, and the one way in which a module is told of it: on the bench and on sockets alike.
+
+use crate::values::{index, object, or, span, text};
+use serde_json::{Map, Value};
+use tackmast::interface::{Effect, Group, Instant, Span};
+use tackmast::policy::Scheduler;
+
+#[derive(Clone, Debug)]
+pub struct StreamType {
+    pub name: String,
+    pub slo: Span,
+    pub expiry: Span,
+    pub effect: Effect,
+    pub in_order: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub name: String,
+    pub limit: f64,
+    pub burst: f64,
+    pub slack: f64,
+    pub reserve: f64,
+    pub weight: f64,
+}
+
+/// Names are those of the simulator's first message. What is absent there is so here: zero, none or off.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub hosts: u32,
+    pub tick: Span,
+    pub mean_units: f64,
+    /// Of one transfer, at most; 0: not told.
+    pub most_units: f64,
+    pub streams: Vec<StreamType>,
+    pub plans: Vec<Plan>,
+    pub most_legs: u32,
+    /// The longest that clients can be asked to stay away; zero: they can't be asked.
+    pub longest_wait: Span,
+    pub settle: Span,
+    further_legs: Option<(f64, f64, Span)>,
+    cold: (f64, f64, Span, Span, f64),
+    asks_list: bool,
+    /// What load reports hold, in their order.
+    pub report: Vec<String>,
+    /// Whether answers tell of service through other hosts.
+    pub tells: bool,
+    pub zones: Vec<String>,
+    pub drain_grace: Span,
+    pub connect_timeout: Span,
+    /// After this long a node closes an idle connection; zero: not told.
+    pub conn_idle: Span,
+}
+
+impl Settings {
+    pub fn read(env: &Map<String, Value>) -> Result<Self, String> {
+        let part = |name: &str| env.get(name).and_then(Value::as_object).cloned().unwrap_or_default();
+        let (domain, rules, limits) = (part("domain"), part("guarantees"), part("limits"));
+        let list = |name: &str| env.get(name).and_then(Value::as_array).into_iter().flatten().enumerate();
+        let streams = list("request_classes")
+            .map(|(i, v)| stream(v).map_err(|e| format!("request_classes[{i}].{e}")))
+            .collect::<Result<_, _>>()?;
+        let plans = list("grades")
+            .map(|(i, v)| plan(v).map_err(|e| format!("grades[{i}].{e}")))
+            .collect::<Result<_, _>>()?;
+        let names = |v: Option<&Value>| -> Vec<String> {
+            let all = v.and_then(Value::as_array).into_iter().flatten();
+            all.map(|v| v.as_str().unwrap_or_default().to_owned()).collect()
+        };
+        let asks_clients = limits.get("retry_after").and_then(Value::as_bool).unwrap_or(false);
+        let further_legs = match rules.contains_key("look_back") {
+            true => {
+                let (free, share) = (or(&rules, "extra_floor", 0.0)?, or(&rules, "further_ratio", 0.0)?);
+                Some((free, share, span(&rules, "look_back")?))
+            }
+            false => None,
+        };
+        Ok(Settings {
+            hosts: or(env, "balancers", 1.0)? as u32,
+            tick: span(env, "granularity")?,
+            mean_units: or(&domain, "unit_mean", 1.0)?,
+            most_units: or(&domain, "largest", 0.0)?,
+            streams,
+            plans,
+            most_legs: or(&limits, "max_attempts", f64::from(u32::MAX))? as u32,
+            longest_wait: if asks_clients { span(&limits, "max_retry_after")? } else { Span::ZERO },
+            settle: span(&rules, "order_settle")?,
+            further_legs,
+            cold: (
+                or(&domain, "cold_bears", 0.0)?,
+                or(&rules, "cold_from", 1.0)?,
+                span(&rules, "cold")?,
+                span(&rules, "fall")?,
+                or(&rules, "fall_multiple", 1.0)?,
+            ),
+            asks_list: env.get("registry_mode").and_then(Value::as_str) == Some("ask"),
+            report: names(part("report").get("fields")),
+            tells: domain.get("says_others").and_then(Value::as_bool).unwrap_or(false),
+            zones: names(env.get("areas")),
+            drain_grace: span(&rules, "drain_grace")?,
+            connect_timeout: span(&limits, "connect_timeout")?,
+            conn_idle: span(&limits, "conn_idle")?,
+        })
+    }
+
+    /// A module that has been told all of it.
+    pub fn scheduler(&self, now: Instant, seed: u64) -> Scheduler {
+        let mut s = Scheduler::new(now, seed, self.hosts, self.tick, self.mean_units);
+        for st in &self.streams {
+            s.stream(st.slo, st.effect, st.in_order);
+        }
+        for p in &self.plans {
+            s.plan(p.limit, p.burst, p.slack, p.reserve, p.weight);
+        }
+        s.leg_limits(self.most_legs, self.longest_wait, self.settle);
+        if let Some((free, share, window)) = self.further_legs {
+            s.further_leg_budget(free, share, window);
+        }
+        let (safe, from, warm, window, multiple) = self.cold;
+        s.cold_nodes(safe, from, warm, window, multiple);
+        if self.asks_list {
+            s.list_must_be_asked();
+        }
+        s
+    }
+
+    /// Where a load report holds the number of transfers that wait.
+    pub fn waiting_at(&self) -> Option<usize> {
+        self.report.iter().position(|f| f == "q")
+    }
+
+    pub fn zone(&self, name: &str) -> Option<u32> {
+        self.zones.iter().position(|z| z == name).map(|i| i as u32)
+    }
+}
+
+fn stream(v: &Value) -> Result<StreamType, String> {
+    let class = object(Some(v), "")?;
+    let effect = match text(class.get("effect"), "effect")? {
+        "repeatable" => Effect::Repeatable,
+        "once" => Effect::Unrepeatable,
+        "by_key" => Effect::Keyed {
+            group: match text(class.get("group"), "group")? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Shard,
+                other => return Err(format!("group: {other}; expected all, zone or cell")),
+            },
+            window: span(class, "window")?,
+        },
+        other => return Err(format!("effect: {other}; expected repeatable, by_key or once")),
+    };
+    Ok(StreamType {
+        name: name(class),
+        slo: span(class, "target")?,
+        expiry: span(class, "give_up")?,
+        effect,
+        in_order: class.get("in_order").and_then(Value::as_bool).unwrap_or(false),
+    })
+}
+
+fn plan(v: &Value) -> Result<Plan, String> {
+    let plan = object(Some(v), "")?;
+    Ok(Plan {
+        name: name(plan),
+        limit: or(plan, "ceiling_rate", 0.0)?,
+        burst: or(plan, "most_at_once", 0.0)?,
+        slack: or(plan, "slack", 0.0)?,
+        reserve: or(plan, "floor_rate", 0.0)?,
+        weight: or(plan, "proportion", 1.0)?,
+    })
+}
+
+fn name(map: &Map<String, Value>) -> String {
+    map.get("name").and_then(Value::as_str).unwrap_or_default().to_owned()
+}
+
+/// A whole number that is given either as a number or as text in hex.
+pub(crate) fn seed(v: Option<&Value>) -> Result<u64, String> {
+    match v.and_then(Value::as_str) {
+        Some(hex) => u64::from_str_radix(hex, 16).map_err(|_| format!("{hex}; expected up to 16 hex digits")),
+        None => index(v, "seed").map(u64::from),
+    }
+}
