The node list's version 0 is a version: the whole list is no longer asked for without end

Now a list that has come is followed from its version, whatever it is, and calls are 50 ms apart at least.

--- a/crates/httphost/src/links.rs
+++ b/crates/httphost/src/links.rs
@@ -277,7 +277,7 @@
 
     /// The leg that has waited longest for a connection, if there is room for it now.
     pub fn next_waiting(&mut self) -> Option<SendLeg> {
-        let room = self.links.len() < self.most || self.idle.len() > 0;
+        let room = self.links.len() < self.most || !self.idle.is_empty();
         if room {
             self.waiting.pop_front()
         } else {
--- a/crates/httphost/src/pool.rs
+++ b/crates/httphost/src/pool.rs
@@ -141,7 +141,8 @@
     #[test]
     fn who_is_owed_least_goes_first() {
         use Stage::*;
-        let cases: Vec<(&str, Vec<(u32, Stage, f64)>, Option<u32>)> = vec![
+        type Case = (&'static str, Vec<(u32, Stage, f64)>, Option<u32>);
+        let cases: Vec<Case> = vec![
             ("nobody", vec![], None),
             ("all are owed an answer", vec![(1, Busy, 0.0), (2, Busy, 1.0)], None),
             ("over before silent", vec![(1, Unproven, 0.0), (2, Over, 9.0)], Some(2)),
--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -24,6 +24,8 @@
 const SWEEP: f64 = 0.02; // seconds
 /// Connections accepted in one turn, at most.
 const ACCEPTS: usize = 32;
+/// Calls for the node list are at least this far apart; well within the time after which one is a new watch.
+const CALLS_APART: f64 = 0.05; // seconds
 /// After SIGTERM: how long new connections are taken, and idle ones kept.
 const STILL_COMING: f64 = 0.6; // seconds
 /// After SIGTERM: when what is still open is answered, whatever it waits for. The longest expiry counts up to a bound.
@@ -73,8 +75,11 @@
     clients: Clients,
     links: Links,
     watch: Watch,
-    /// Whether changes of the list are asked for, call after call.
+    /// Whether changes of the list are asked for, call after call; and when the next call is due, where it has to wait.
     follows: bool,
+    asked: Instant,
+    ask_at: Option<Instant>,
+    listed: bool,
     orders: HashMap<u32, (Order, UnixStream)>,
     /// The id of each open request, by its connection.
     open: HashMap<u32, (u32, String)>,
@@ -129,6 +134,9 @@
             links: Links::new(split.links, s.connect_timeout, s.conn_idle, reports),
             watch: Watch::new(c.discovery),
             follows: false,
+            asked: now - Span::from_secs(CALLS_APART),
+            ask_at: None,
+            listed: false,
             orders: HashMap::new(),
             open: HashMap::new(),
             ids: HashSet::new(),
@@ -239,6 +247,9 @@
     fn sweep(&mut self, now: Instant) {
         let late = self.watch.tick(now);
         self.news(now, late);
+        if self.follows && !self.watch.is_calling() && self.ask_at.is_some_and(|t| t <= now) {
+            self.ask(now);
+        }
         self.links.tick(now, &mut self.back);
         self.take_back(now);
         for (id, open) in self.clients.tick(now, &self.poller) {
@@ -461,8 +472,13 @@
     }
 
     fn ask(&mut self, now: Instant) {
-        let version = self.core.list_version();
-        let after = (version > 0).then_some(version);
+        // Against a list that answers at once without news: the calls still make one watch, and load it little.
+        let due = self.asked + Span::from_secs(CALLS_APART);
+        if due > now {
+            return self.ask_at = Some(due);
+        }
+        (self.asked, self.ask_at) = (now, None);
+        let after = self.listed.then(|| self.core.list_version());
         let failed = self.watch.ask(now, &self.poller, after).err();
         self.news(now, failed);
     }
@@ -500,6 +516,7 @@
         });
         let entries: Vec<ListEntry> = entries.collect();
         self.core.list_came(now, kind, from, list.version, &entries);
+        self.listed = true;
         let nodes = self.core.nodes();
         self.links.keep_where(|node, address| {
             let listed = nodes.entry(node).is_some_and(|e| e.state != NodeState::Gone);
--- a/crates/httphost/src/watch.rs
+++ b/crates/httphost/src/watch.rs
@@ -44,6 +44,7 @@
         Watch { address, call: None, kept: None, next: 0 }
     }
 
+    /// Whether a call has no answer yet.
     pub fn is_calling(&self) -> bool {
         self.call.is_some()
     }
