After SIGTERM the host serves open connections until shortly before it is killed

Now connections go on until 0.7 s before the host may be killed; then answers say close, idle ones close, and what is open 0.3 s before is answered as it stands. A host without clients ends after 0.6 s. Ruled out: the list (moved without a failed call). Tests: on_sigterm_the_host_serves_while_clients_come_and_ends_in_time, on_sigterm_a_host_without_clients_ends_soon.

--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -26,11 +26,16 @@
 const ACCEPTS: usize = 32;
 /// Calls for the node list are at least this far apart; well within the time after which one is a new watch.
 const CALLS_APART: f64 = 0.05; // seconds
-/// After SIGTERM: how long new connections are taken, and idle ones kept.
+/// After SIGTERM, while clients still come: new connections for up to 0.4 s, and requests on those they have for as long
+/// as these stay open. They have nowhere else to go until the host is back, so it serves on until shortly before it is
+/// killed. The platform does that no earlier than the longest expiry, which counts up to a bound, and some time on top.
 const STILL_COMING: f64 = 0.6; // seconds
-/// After SIGTERM: when what is still open is answered, whatever it waits for. The longest expiry counts up to a bound.
 const LONGEST_EXPIRY: f64 = 3.0; // seconds
-const SETTLE_AFTER: f64 = 0.5; // seconds, on top
+const KILLED_AFTER: f64 = 0.7; // seconds, on top
+/// Ahead of that: when answers end their connections and idle ones close, and when what is still open is answered as it
+/// stands. Whatever came later than 0.7 s after SIGTERM must have its answer by then.
+const CLOSE_AHEAD: f64 = 0.7; // seconds
+const SETTLE_AHEAD: f64 = 0.3; // seconds
 /// Nodes and volumes that are remembered.
 const NODES: usize = 1024;
 const VOLUMES: usize = 1024;
@@ -231,7 +236,7 @@
         }
         self.core.tick(now);
         self.carry_out();
-        self.ending.is_some() && self.has_ended(now)
+        self.ending.is_some() && self.has_ended()
     }
 
     fn patience(&self) -> Duration {
@@ -257,12 +262,15 @@
         }
         if let Some(since) = self.ending {
             let secs = (now - since).secs();
-            if secs >= STILL_COMING {
+            let expiry = self.settings.streams.iter().map(|s| s.expiry.secs()).fold(0.0, f64::max);
+            let killed = expiry.min(LONGEST_EXPIRY) + KILLED_AFTER;
+            let alone = secs >= STILL_COMING && self.clients.len() == 0;
+            if alone || secs >= killed - CLOSE_AHEAD {
                 self.listener = None;
+                self.clients.ending = true;
                 self.clients.close_idle(now);
             }
-            let expiry = self.settings.streams.iter().map(|s| s.expiry.secs()).fold(0.0, f64::max);
-            if secs >= expiry.min(LONGEST_EXPIRY) + SETTLE_AFTER && !self.settled {
+            if secs >= killed - SETTLE_AHEAD && !self.settled {
                 self.settled = true;
                 self.core.settle(now);
             }
@@ -270,10 +278,9 @@
     }
 
     /// All that was taken has its answer, and nobody comes any more.
-    fn has_ended(&self, now: Instant) -> bool {
+    fn has_ended(&self) -> bool {
         let (commands, _, _) = self.core.open();
-        let quiet = self.listener.is_none() && commands == 0 && !self.clients.is_writing();
-        quiet && self.ending.is_some_and(|t| (now - t).secs() >= STILL_COMING)
+        self.listener.is_none() && commands == 0 && !self.clients.is_writing()
     }
 
     fn ordered(&mut self, number: u32) -> Option<Order> {
@@ -294,7 +301,6 @@
         match order {
             Order::End if self.ending.is_none() => {
                 self.ending = Some(now);
-                self.clients.ending = true;
                 tracing::info!(open = self.core.open().0, "host ends: answers what it has taken");
             }
             Order::End => {}
