Requests with another's id or the wrong method reach no node

Now an id stays used for 5 s (4,096 at most), the method must fit whether the class writes, and a node's 4xx is no sign of its health.

--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::pool::Split;
 use crate::watch::{News, Watch};
 use bytes::Bytes;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::{ErrorKind, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
@@ -36,6 +36,9 @@
 /// stands. Whatever came later than 0.7 s after SIGTERM must have its answer by then.
 const CLOSE_AHEAD: f64 = 0.5; // seconds
 const SETTLE_AHEAD: f64 = 0.25; // seconds
+/// For how long the id of a request that is over is known, and how many.
+const IDS_KEPT: f64 = 5.0; // seconds
+const MOST_IDS: usize = 4096;
 /// Nodes and volumes that are remembered.
 const NODES: usize = 1024;
 const VOLUMES: usize = 1024;
@@ -89,6 +92,8 @@
     /// The id of each open request, by its connection.
     open: HashMap<u32, (u32, String)>,
     ids: HashSet<String>,
+    /// Ids of requests that were answered lately, the oldest first; they stand in `ids` too.
+    used: VecDeque<(Instant, String)>,
     requests: u32,
     refused: u64,
     /// Connections whose next request may be there already.
@@ -145,6 +150,7 @@
             orders: HashMap::new(),
             open: HashMap::new(),
             ids: HashSet::new(),
+            used: VecDeque::new(),
             requests: 0,
             refused: 0,
             again: Vec::new(),
@@ -344,15 +350,24 @@
 
     fn gone(&mut self, now: Instant, id: u32, open: Option<u32>) {
         if let Some(command) = open {
-            self.forget(id);
+            self.forget(now, id);
             self.core.abort(now, CommandRef { session: id, command });
         }
     }
 
-    fn forget(&mut self, id: u32) {
+    /// A request is over. Its id stays used for a while: every request has a fresh one, and whoever comes with an old one
+    /// would be taken by nodes for what they have already seen.
+    fn forget(&mut self, now: Instant, id: u32) {
         if let Some((_, name)) = self.open.remove(&id) {
+            self.used.push_back((now, name));
+        }
+        let old = |u: &mut (Instant, String)| (now - u.0).secs() > IDS_KEPT;
+        while let Some((_, name)) = self.used.pop_front_if(old) {
             self.ids.remove(&name);
         }
+        while self.used.len() > MOST_IDS {
+            self.used.pop_front().map(|(_, name)| self.ids.remove(&name));
+        }
     }
 
     fn request(&mut self, now: Instant, id: u32, r: Request) {
@@ -365,7 +380,7 @@
         }
         let call = match Call::of(r, &self.settings) {
             Ok(call) if self.ids.contains(&call.id) => {
-                Err((409, "x-call-id: that of an open request; expected a fresh one".to_owned()))
+                Err((409, "x-call-id: that of another request; expected a fresh one".to_owned()))
             }
             Ok(call) => Ok(call),
             Err(refusal) => Err((refusal.status, refusal.why)),
@@ -455,7 +470,7 @@
             }
             Output::Answer { to, verdict } => {
                 let id = to.session;
-                self.forget(id);
+                self.forget(now, id);
                 let (status, body, come_back) = match &verdict {
                     Verdict::Done { data } => (200, &data[..], None),
                     Verdict::Deferred { come_back } => (503, &b"deferred"[..], *come_back),
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -71,6 +71,9 @@
         let stream = s.streams.iter().position(|st| st.name == class);
         let stream = stream
             .ok_or_else(|| bad(format!("x-call-class {}: expected one of the settings", cut(class))))?;
+        if s.streams[stream].writes.is_some_and(|writes| writes != (r.method == "PUT")) {
+            return Err(bad(format!("method {}: expected PUT where the class writes, else GET", r.method)));
+        }
         let plan = one("x-storage-class")?;
         let plan_at = s.plans.iter().position(|p| p.name == plan);
         let plan = plan_at
--- a/crates/platform/src/outcome.rs
+++ b/crates/platform/src/outcome.rs
@@ -40,6 +40,9 @@
         let outcome = match a.status {
             200 => Outcome::Done,
             _ if never_ran => Outcome::Full,
+            // The node could not use the request: no sign of its health, or bad clients could make it look sick. As the
+            // protocol does not say that it never ran, it may have.
+            400..=499 => Outcome::Cancelled,
             _ => Outcome::Error,
         };
         let report = a.headers.first("x-load-report").filter(|_| self.waiting);
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -12,6 +12,8 @@
     pub expiry: Span,
     pub effect: Effect,
     pub in_order: bool,
+    /// Whether it writes, where that is told.
+    pub writes: Option<bool>,
 }
 
 #[derive(Clone, Debug)]
@@ -57,8 +59,10 @@
         let part = |name: &str| env.get(name).and_then(Value::as_object).cloned().unwrap_or_default();
         let (domain, rules, limits) = (part("domain"), part("guarantees"), part("limits"));
         let list = |name: &str| env.get(name).and_then(Value::as_array).into_iter().flatten().enumerate();
+        let writes = domain.get("class_writes").and_then(Value::as_array).cloned().unwrap_or_default();
+        let writes = |i: usize| writes.get(i).and_then(Value::as_bool);
         let streams = list("request_classes")
-            .map(|(i, v)| stream(v).map_err(|e| format!("request_classes[{i}].{e}")))
+            .map(|(i, v)| stream(v, writes(i)).map_err(|e| format!("request_classes[{i}].{e}")))
             .collect::<Result<_, _>>()?;
         let plans = list("grades")
             .map(|(i, v)| plan(v).map_err(|e| format!("grades[{i}].{e}")))
@@ -134,7 +138,7 @@
     }
 }
 
-fn stream(v: &Value) -> Result<StreamType, String> {
+fn stream(v: &Value, writes: Option<bool>) -> Result<StreamType, String> {
     let class = object(Some(v), "")?;
     let effect = match text(class.get("effect"), "effect")? {
         "repeatable" => Effect::Repeatable,
@@ -156,6 +160,7 @@
         expiry: span(class, "give_up")?,
         effect,
         in_order: class.get("in_order").and_then(Value::as_bool).unwrap_or(false),
+        writes,
     })
 }
 
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -43,6 +43,8 @@
     TwoLengths,
     Huge,
     Error,
+    /// Could not be used.
+    Unusable,
     /// Turned away unrun.
     Full,
     /// The connection breaks: before anything is read, once the request is in, within the answer.
@@ -264,6 +266,7 @@
                 return Ok(());
             }
             NodeFault::Error => stream.write_all(&plain("500 Internal Server Error"))?,
+            NodeFault::Unusable => stream.write_all(&plain("400 Bad Request"))?,
             NodeFault::Full => stream.write_all(&plain("503 Service Unavailable\r\nX-Rejected: 1"))?,
             NodeFault::ResetAtOnce | NodeFault::ResetAfter => {
                 reset(&stream);
