Idle connections give way before one that has just come

All that had made no request yet went first when descriptors ran short, also those whose first request was on its way (crates/httphost/src/pool.rs, Stage). Now one counts as silent after 0.3 s; before that, idle ones go first. Test: table in pool.rs.

--- a/crates/httphost/src/clients.rs
+++ b/crates/httphost/src/clients.rs
@@ -1,7 +1,7 @@
 //! Connections of clients: requests in turn, one open at a time on each.
 
 use crate::poller::{Interest, Poller, Ready, Token, BOTH, READ, WRITE};
-use crate::pool::{evicted, Stage, IDLE_AFTER};
+use crate::pool::{evicted, Stage, IDLE_AFTER, YOUNG};
 use crate::wire::{self, Got};
 use bytes::BytesMut;
 use std::collections::BTreeMap;
@@ -39,13 +39,14 @@
 
 impl Client {
     fn stage(&self, now: Instant) -> Stage {
-        let idle = (now - self.since).secs() >= IDLE_AFTER;
+        let secs = (now - self.since).secs();
         match () {
             _ if self.last => Stage::Over,
             _ if self.open.is_some() || !self.out.is_empty() => Stage::Busy,
-            _ if !self.proven => Stage::Unproven,
+            _ if !self.proven && secs < YOUNG => Stage::Young,
+            _ if !self.proven => Stage::Silent,
             _ if self.reader.is_midway() => Stage::Midway,
-            _ if idle => Stage::Idle,
+            _ if secs >= IDLE_AFTER => Stage::Idle,
             _ => Stage::Resting,
         }
     }
@@ -304,7 +305,7 @@
             let writing = self.clients.get(&id).is_some_and(|c| !c.out.is_empty() && c.open.is_none());
             match stage {
                 Stage::Over if secs >= if writing { STUCK } else { LINGER } => _ = self.remove(id),
-                Stage::Unproven | Stage::Midway if secs >= PATIENCE => {
+                Stage::Silent | Stage::Midway if secs >= PATIENCE => {
                     self.counters.too_slow += 1;
                     self.close_with(now, poller, id, 408, "no whole request in time");
                 }
@@ -319,7 +320,8 @@
 
     /// Ends connections that no request is open on, as the host is ending.
     pub fn close_idle(&mut self, now: Instant) {
-        let idle = |c: &Client| matches!(c.stage(now), Stage::Idle | Stage::Resting | Stage::Unproven);
+        let idle =
+            |c: &Client| matches!(c.stage(now), Stage::Idle | Stage::Resting | Stage::Silent | Stage::Young);
         let idle: Vec<u32> = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|id| _ = self.remove(id));
     }
--- a/crates/httphost/src/pool.rs
+++ b/crates/httphost/src/pool.rs
@@ -39,10 +39,12 @@
 pub enum Stage {
     /// Has its last answer; only its end is awaited.
     Over,
-    /// Has not made one good request: has said nothing, or a part.
-    Unproven,
+    /// Has not made one good request in a while: has said nothing, or a part.
+    Silent,
     /// Between requests for long enough that its client counts on its end.
     Idle,
+    /// Has only just come. Its first request is on its way, and its client would take its end for a failure.
+    Young,
     /// Between requests for a moment.
     Resting,
     /// In the middle of a request's bytes.
@@ -54,6 +56,9 @@
 /// A connection between requests may be closed after this.
 pub const IDLE_AFTER: f64 = 2.0; // seconds
 
+/// A client that has just connected speaks within this.
+pub const YOUNG: f64 = 0.3; // seconds
+
 /// The client to give up for a new one: the lowest stage, in it the longest there. One that is owed an answer never goes.
 pub fn evicted(clients: impl Iterator<Item = (u32, Stage, Instant)>) -> Option<u32> {
     let may = clients.filter(|(_, stage, _)| *stage < Stage::Busy);
@@ -145,8 +150,10 @@
         let cases: Vec<Case> = vec![
             ("nobody", vec![], None),
             ("all are owed an answer", vec![(1, Busy, 0.0), (2, Busy, 1.0)], None),
-            ("over before silent", vec![(1, Unproven, 0.0), (2, Over, 9.0)], Some(2)),
-            ("the longest silent", vec![(1, Unproven, 5.0), (2, Unproven, 4.0), (3, Idle, 0.0)], Some(2)),
+            ("over before silent", vec![(1, Silent, 0.0), (2, Over, 9.0)], Some(2)),
+            ("the longest silent", vec![(1, Silent, 5.0), (2, Silent, 4.0), (3, Idle, 0.0)], Some(2)),
+            ("idle before one that has just come", vec![(1, Young, 5.0), (2, Idle, 3.0)], Some(2)),
+            ("a flood of new ones against usual clients", vec![(1, Resting, 1.0), (2, Young, 5.0)], Some(2)),
             ("idle before midway", vec![(1, Midway, 0.0), (2, Idle, 3.0), (3, Resting, 1.0)], Some(2)),
             ("at a pinch one in the middle", vec![(1, Midway, 2.0), (2, Busy, 0.0)], Some(1)),
         ];
