The run line is tested as a process; nodes that are gone leave every shard's table

Now no shard names a node that is not known. A listener that finds no descriptor makes one connection give way instead of trying without end. Tests: nodes_that_are_gone_are_forgotten_wherever_they_were_listed; crates/cli/tests/platform.rs starts the run line, reloads and ends it by signals.

--- /dev/null
+++ b/crates/cli/tests/platform.rs
@@ -0,0 +1,120 @@
+//! `tackmast serve --platform` as the platform runs it: a process, its configuration file, and signals.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tackmast_standins::http::{Heard, HttpClient, HttpList, HttpNode, ListLine};
+
+const PATIENCE: Duration = Duration::from_secs(6);
+
+fn config(listen: SocketAddr, list: &HttpList) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","known":{},
+        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
+        "settings":{{"balancers":1,"granularity":0.002,"areas":["a"],"registry_mode":"ask",
+          "limits":{{"retry_after":true,"max_retry_after":0.5,"connect_timeout":0.25}},
+          "request_classes":[{{"name":"read","effect":"repeatable","target":0.3,"give_up":1.0}}],
+          "grades":[{{"name":"gold"}}]}}}}"#,
+        list.address(),
+        list.text()
+    )
+}
+
+fn serve(file: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tackmast"));
+    command.args(["serve", "--platform"]).env("NODE_CONFIG", file).stderr(Stdio::piped());
+    command.spawn().expect("the command starts")
+}
+
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
+    assert!(sent.success());
+}
+
+fn asked(to: SocketAddr, text: &str) -> Option<u16> {
+    let mut client = HttpClient::connect(to).ok()?;
+    client.say(text.as_bytes());
+    match client.hear(PATIENCE) {
+        Heard::Answer(a) => Some(a.status),
+        _ => None,
+    }
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !holds() {
+        assert!(since.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn a_host_starts_serves_reloads_and_ends_by_signals() {
+    let (node, list, next) =
+        (HttpNode::start().unwrap(), HttpList::start().unwrap(), HttpList::start().unwrap());
+    let line =
+        |phase| ListLine { id: "s-0".into(), address: node.address(), shard: 0, phase, up_since_ms: 0 };
+    list.holds(line("Ready"));
+    next.holds(line("Ready"));
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("config.json");
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    std::fs::write(&file, config(listen, &list)).unwrap();
+    let mut host = serve(&file);
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    until("ready", || asked(listen, ready) == Some(200));
+    let mut call = 0;
+    let mut get = || {
+        call += 1;
+        let text = format!(
+            "GET /api/00000000000000aa/00000000000000bb HTTP/1.1\r\nHost: h\r\nX-Call-Id: {call:016x}\r\n\
+             X-Call-Class: read\r\nX-Storage-Class: gold\r\nX-Budget-Ms: 1000\r\nX-Extent: units=1,shard=0,hosts=1\r\n\r\n"
+        );
+        asked(listen, &text)
+    };
+    assert_eq!(get(), Some(200));
+    // A file that makes no sense changes nothing; one that names another list moves the watch.
+    std::fs::write(&file, "{").unwrap();
+    signal(&host, "-HUP");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(get(), Some(200));
+    std::fs::write(&file, config(listen, &next)).unwrap();
+    signal(&host, "-HUP");
+    until("the new list is asked", || !next.calls().is_empty());
+    assert_eq!(get(), Some(200));
+    signal(&host, "-TERM");
+    until("ends", || host.try_wait().unwrap().is_some());
+    assert!(host.wait().unwrap().success());
+    let mut text = String::new();
+    host.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+    for words in ["host serves", "the old one stays", "the node list moves", "host has ended taken=3 done=3"]
+    {
+        assert!(text.contains(words), "{words}: {text}");
+    }
+    assert!(text.lines().count() <= 12, "sparse: {text}");
+}
+
+#[test]
+fn a_file_that_makes_no_sense_ends_the_start_with_one_line() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("config.json");
+    let list = HttpList::start().unwrap();
+    let good = config("127.0.0.1:1".parse().unwrap(), &list);
+    for (text, word) in [
+        (None, "expected a file that can be read"),
+        (Some("{".to_owned()), "expected JSON"),
+        (Some(good.replace("repeatable", "odd")), "settings.request_classes[0].effect: odd; expected"),
+        (Some(good.replace("\"sockets\":256", "\"sockets\":1")), "limits.sockets: 1; expected"),
+    ] {
+        match text {
+            Some(text) => std::fs::write(&file, text).unwrap(),
+            None => _ = std::fs::remove_file(&file),
+        }
+        let out = serve(&file).wait_with_output().unwrap();
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(!out.status.success() && said.contains(word), "{word}: {said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+}
--- a/crates/httphost/src/clients.rs
+++ b/crates/httphost/src/clients.rs
@@ -105,19 +105,10 @@
     }
 
     pub fn accepted(&mut self, now: Instant, poller: &Poller, stream: TcpStream) {
-        if self.clients.len() >= self.most {
-            let all = self.clients.iter().map(|(id, c)| (*id, c.stage(now), c.since));
-            match evicted(all) {
-                Some(id) => {
-                    self.counters.evicted += 1;
-                    self.remove(id);
-                }
-                // All are owed an answer. The new one has asked for nothing yet.
-                None => {
-                    self.counters.turned_away += 1;
-                    return;
-                }
-            }
+        if self.clients.len() >= self.most && !self.make_room(now) {
+            // All are owed an answer. The new one has asked for nothing yet.
+            self.counters.turned_away += 1;
+            return;
         }
         if stream.set_nonblocking(true).is_err() || stream.set_nodelay(true).is_err() {
             return;
@@ -144,6 +135,13 @@
         self.clients.insert(id, client);
     }
 
+    /// One connection gives way, if any may.
+    pub fn make_room(&mut self, now: Instant) -> bool {
+        let id = evicted(self.clients.iter().map(|(id, c)| (*id, c.stage(now), c.since)));
+        self.counters.evicted += u64::from(id.is_some());
+        id.map(|id| self.remove(id)).is_some()
+    }
+
     fn remove(&mut self, id: u32) -> Option<u32> {
         let client = self.clients.remove(&id)?;
         self.held -= client.held;
--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -335,7 +335,13 @@
             match listener.accept() {
                 Ok((stream, _)) => self.clients.accepted(now, &self.poller, stream),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    // No descriptor is left although the split leaves some: one more gives way, or this would be tried
+                    // without end.
+                    self.clients.make_room(now);
+                    return;
+                }
             }
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -525,6 +525,11 @@
         self.turns.len()
     }
 
+    /// Nodes and volumes that are remembered.
+    pub fn known(&self) -> (usize, usize) {
+        (self.nodes.len(), self.volumes.len())
+    }
+
     pub fn next_wake(&self) -> Option<Instant> {
         self.alarms.peek().map(|Reverse((t, _))| *t)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -603,11 +603,12 @@
     shards: &mut BTreeMap<ShardId, Shard>,
     since: Instant,
 ) {
-    let kept = |n: &Node| n.state != NodeState::Gone || n.out > 0 || n.sent_at >= since;
-    for (id, n) in nodes.iter().filter(|(_, n)| !kept(n)) {
-        shards.entry(n.shard).and_modify(|s| _ = s.nodes.remove(id));
+    let known = nodes.len();
+    nodes.retain(|_, n| n.state != NodeState::Gone || n.out > 0 || n.sent_at >= since);
+    // Also from shards that it was once listed for: none may name a node that is not known.
+    if nodes.len() < known {
+        shards.values_mut().for_each(|s| s.nodes.retain(|id| nodes.contains_key(id)));
     }
-    nodes.retain(|_, n| kept(n));
 }
 
 /// Drops volumes of which nothing came since, and their tags.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::{secs, sent, Desk};
 use tackmast::histogram::Histogram;
-use tackmast::interface::{Decision, Effect, LegNo, ListKind, NodeId, NodeState, Outcome, Span, XferId};
+use tackmast::interface::*;
 
 fn desk(nodes: u32) -> Desk {
     let mut d = Desk::new(1, Effect::Repeatable, false);
@@ -134,6 +134,46 @@
     }
 }
 
+#[test]
+fn nodes_that_are_gone_are_forgotten_wherever_they_were_listed() {
+    // Nodes under new ids without end; each is listed for one shard, then for another, then gone.
+    let mut d = desk(1);
+    for round in 1..200u32 {
+        let entry = |node: u32, shard: u32, state| NodeEntry {
+            node: NodeId(node),
+            state,
+            zone: ZoneId(0),
+            shard: ShardId(shard),
+            up_since: None,
+        };
+        let (at, id) = (d.at(), round);
+        d.s.nodes_changed(at, ListKind::Changes, &[entry(id, 1, NodeState::Ready)]);
+        d.s.nodes_changed(at, ListKind::Changes, &[entry(id, 2, NodeState::Ready)]);
+        for shard in 0..3 {
+            d.take(0, 2, round, 1.0, shard, round);
+        }
+        for (x, _) in d.pull().iter().filter_map(sent) {
+            d.end(x, 0, Outcome::Done, 0.01);
+        }
+        d.s.nodes_changed(at, ListKind::Changes, &[entry(id, 2, NodeState::Gone)]);
+        let end = d.now + 10.0;
+        d.until(end);
+    }
+    let (nodes, volumes) = d.s.known();
+    assert!(nodes <= 8, "{nodes} nodes known");
+    // Volumes: the table fills before those at rest are forgotten.
+    for volume in 0..3000u32 {
+        d.take(0, 0, 1000 + volume, 1.0, 0, 0);
+        let end = d.now + 0.1;
+        for (_, x) in d.until(end) {
+            if let Some((x, _)) = sent(&x) {
+                d.end(x, 0, Outcome::Done, 0.01);
+            }
+        }
+    }
+    assert!(d.s.known().1 <= 512 + volumes.min(1), "{} volumes known", d.s.known().1);
+}
+
 #[test]
 fn a_node_that_fails_by_chance_is_asked_again_in_time() {
     // How many of ten legs fail, and how long that takes; transfers of 100 done within the SLO time, at least and most.
