--- a/crates/httphost/src/watch.rs
+++ b/crates/httphost/src/watch.rs
@@ -9,10 +9,11 @@
 use tackmast_http::{AnswerReader, Bounds};
 use tackmast_platform::{List, Settings};
 
-/// How long a call lets the list wait for news. What is lost on the way counts as told some time after that.
-const WAIT_MS: u64 = 5_000;
+/// How long a call lets the list wait for news. What is lost on the way counts as told 2 s after that, and a watch that has
+/// fallen silent is found out only then; each call costs the list work.
+const WAIT_MS: u64 = 2_500;
 /// And how long it may take beyond that, connecting included.
-const PATIENCE: f64 = 2.0; // seconds
+const PATIENCE: f64 = 1.5; // seconds
 
 /// What became of a call.
 #[derive(Debug)]
