--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -28,7 +28,7 @@
     let limits = c.limits;
     tracing::info!(
         name = c.name,
-        listen = %c.listen,
+        listen = %host.address().unwrap_or(c.listen),
         list = %c.discovery,
         sockets = limits.sockets,
         memory_bytes = limits.memory_bytes,
