--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers, as nodes and the node list send them.
 
 use crate::body::{BodyReader, Framing};
-use crate::head::{Headers, FIELDS};
+use crate::head::{length, Headers, FIELDS};
 use crate::{Bad, Bounds};
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -66,16 +66,10 @@
 fn head(bytes: &[u8], bounds: Bounds) -> Result<Option<(Answer, Option<Framing>, usize)>, Bad> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS];
     let mut parsed = httparse::Response::new(&mut fields);
-    let status = parsed.parse(bytes).map_err(|e| match e {
-        httparse::Error::TooManyHeaders => Bad::LongHead,
-        _ => Bad::Head,
-    })?;
-    let httparse::Status::Complete(length) = status else {
-        return if bytes.len() >= bounds.head { Err(Bad::LongHead) } else { Ok(None) };
-    };
+    let Some(length) = length(parsed.parse(bytes), bytes.len(), bounds.head)? else { return Ok(None) };
     let (Some(status), Some(version)) = (parsed.code, parsed.version) else { return Err(Bad::Head) };
-    if length > bounds.head || status < 100 {
-        return Err(Bad::LongHead);
+    if status < 100 {
+        return Err(Bad::Head);
     }
     let headers = Headers::of(parsed.headers)?;
     let framing = if status < 200 { None } else { headers.framing()? };
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -6,6 +6,20 @@
 /// Header fields of one head, at most.
 pub const FIELDS: usize = 64;
 
+/// The length of a head of which `held` bytes are there, once it is whole.
+pub(crate) fn length(
+    parsed: Result<httparse::Status<usize>, httparse::Error>,
+    held: usize,
+    most: usize,
+) -> Result<Option<usize>, Bad> {
+    match parsed {
+        Ok(httparse::Status::Complete(n)) if n <= most => Ok(Some(n)),
+        Ok(httparse::Status::Partial) if held < most => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad::LongHead),
+        Err(_) => Err(Bad::Head),
+    }
+}
+
 /// Fields by name. Values are those of a head that was understood whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(Vec<(String, String)>);
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests, as clients send them.
 
 use crate::body::{BodyReader, Framing};
-use crate::head::{Headers, FIELDS};
+use crate::head::{length, Headers, FIELDS};
 use crate::{Bad, Bounds};
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -76,16 +76,7 @@
 fn head(bytes: &[u8], bounds: Bounds) -> Result<Option<(Request, Framing, usize)>, Bad> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS];
     let mut parsed = httparse::Request::new(&mut fields);
-    let status = parsed.parse(bytes).map_err(|e| match e {
-        httparse::Error::TooManyHeaders => Bad::LongHead,
-        _ => Bad::Head,
-    })?;
-    let httparse::Status::Complete(length) = status else {
-        return if bytes.len() >= bounds.head { Err(Bad::LongHead) } else { Ok(None) };
-    };
-    if length > bounds.head {
-        return Err(Bad::LongHead);
-    }
+    let Some(length) = length(parsed.parse(bytes), bytes.len(), bounds.head)? else { return Ok(None) };
     let (Some(method), Some(target), Some(version)) = (parsed.method, parsed.path, parsed.version) else {
         return Err(Bad::Head);
     };
