Plans move while volumes are busy; what can never leave is answered at once

Cause: operators want limits, reservations and weights changed live; the module took them only at its start. On reading for this, a transfer larger than its host's part of a burst, and a keyed one whose mark is past its time, turned out to be held until late although nothing could send them any more (may_leave gave back the expiry), with their line behind them. Change: plan_changed (and a volume that comes under another plan) drains at the old rate, cuts the room to the new burst and never adds to it; first_in_time answers at once what can never leave, with when to come back where a retry is safe. Plan is a type of the interface. Tried first: what was drawn stays drawn.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -132,6 +132,16 @@
     Gone,
 }
 
+/// Units a second, and units; a `limit` of 0 is none. Of `slack`, all hosts may go past the limit together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Plan {
+    pub limit: f64,
+    pub burst: f64,
+    pub slack: f64,
+    pub reserve: f64,
+    pub weight: f64,
+}
+
 /// How a node list came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -177,8 +177,12 @@
         if self.volumes.len() >= VOLUMES_KEPT && !self.volumes.contains_key(&volume) {
             forget_resting(&mut self.volumes, &mut self.shards, now - Span::from_secs(AT_REST));
         }
-        let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, told, full));
+        let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, plan, told, full));
         (v.hosts, v.seen) = (v.hosts.max(told), now);
+        if v.plan != plan {
+            let old = std::mem::replace(&mut v.plan, plan);
+            Self::refigure(v, now, &self.plans[old.0 as usize], p);
+        }
         // A client's later try began its SLO time with its first: it asks for the same as one answered
         // undone, with less time left. Little time left alone proves nothing: some clients are in a hurry.
         let ask = (volume, stream, key, shard, units.to_bits());
@@ -270,7 +274,7 @@
         self.now = now;
         let (p, told) = (&self.plans[plan.0 as usize], f64::from(hosts.max(1)));
         let full = (p.burst - p.slack * SLACK_AT_START) / told;
-        let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, told, full));
+        let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, plan, told, full));
         // What has drained by now did so at the old rate: a higher one must not reach back.
         let before = Self::part(v, now);
         v.limit.drain(now, p.limit * before);
@@ -281,6 +285,19 @@
         }
     }
 
+    /// A plan's figures from now on, while its volumes are busy; the next number is a new plan.
+    pub fn plan_changed(&mut self, now: Instant, plan: PlanId, new: Plan) {
+        self.now = now;
+        if let Some(p) = self.plans.get_mut(plan.0 as usize) {
+            let of_it = self.volumes.values_mut().filter(|v| v.plan == plan);
+            of_it.for_each(|v| Self::refigure(v, now, p, &new));
+            *p = new;
+            self.due.extend(self.shards.keys());
+        } else if plan.0 as usize == self.plans.len() {
+            self.plans.push(new);
+        }
+    }
+
     /// How many hosts are thought to be there. Caps follow it, whose sum no rule bounds; the guards keep to
     /// the told number, whatever is thought.
     pub fn hosts_there(&mut self, there: u32) {
@@ -581,6 +598,7 @@
         loop {
             let id = self.shards.get_mut(&shard)?.head(name, |id| waits_at(&self.xfers, id, shard))?;
             let x = &self.xfers[&id];
+            let never = !self.rerun_safe(x, None) || self.is_over_part(x);
             let queue = self.shards.get_mut(&shard)?.queues.get_mut(&name)?;
             // A new object that waits for a node which can't take it finds another.
             if node.is_none() && x.any_node && x.ran.is_none() && self.now < x.slo_at {
@@ -590,7 +608,7 @@
             }
             let nd = node.and_then(|n| self.nodes.get(&n));
             let usual = nd.map_or(Span::ZERO, |n| n.usual(name.1));
-            if self.now + usual < x.slo_at.min(x.expiry) {
+            if self.now + usual < x.slo_at.min(x.expiry) && !never {
                 // What a guard of its own holds (a pause, its key's turn) must not hold those behind it.
                 let queue = self.shards.get(&shard)?.queues.get(&name)?;
                 let open = |q: &&XferId| {
@@ -604,7 +622,10 @@
             let limited = self.plans[x.plan.0 as usize].limit > 0.0;
             let late = &mut self.shards.get_mut(&shard)?.late;
             let cap = nd.map_or(0.0, |n| n.cap);
-            if limited || (late.len() as f64) >= cap {
+            if never {
+                // Against one that can't leave any more, held till it is late with all behind it.
+                self.answer(id, Some(self.longest_wait));
+            } else if limited || (late.len() as f64) >= cap {
                 self.answer(id, Some(usual + usual));
             } else {
                 late.push_back(id);
@@ -649,15 +670,14 @@
         if let Some(t) = self.turn_wait(id, x) {
             return Err(t.max(later));
         }
+        if self.is_over_part(x) {
+            return Err(x.expiry);
+        }
         let plan = &self.plans[x.plan.0 as usize];
         if plan.limit > 0.0 && !x.drew {
             if let Some(v) = self.volumes.get_mut(&x.volume) {
                 let (rate, burst) = (plan.limit * Self::part(v, now), plan.burst / v.hosts);
                 let wait = v.limit.wait(now, rate, burst, x.units);
-                // More than the part ever holds must not pass: every host would overdraw the one store.
-                if x.units > burst {
-                    return Err(x.expiry);
-                }
                 if wait > Span::ZERO {
                     return Err(now + wait);
                 }
@@ -677,6 +697,24 @@
         (base - lent).max(0.0) + if now < until { borrowed } else { 0.0 }
     }
 
+    /// More than its host's part of the burst must not pass: every host would overdraw the one store.
+    fn is_over_part(&self, x: &Xfer) -> bool {
+        let (p, v) = (&self.plans[x.plan.0 as usize], self.volumes.get(&x.volume));
+        p.limit > 0.0 && !x.drew && v.is_some_and(|v| x.units > p.burst / v.hosts)
+    }
+
+    /// Rule 7 for a limit that moves. What has drained so far did so at the old rate, and no change adds to what
+    /// may leave at once: against bursts handed out anew by going down and up, and against a volume that is
+    /// silenced until an old burst is paid back. What had no limit starts with nothing saved.
+    fn refigure(v: &mut Volume, now: Instant, old: &Plan, new: &Plan) {
+        let part = Self::part(v, now);
+        v.limit.drain(now, old.limit * part);
+        v.reserve.drain(now, old.reserve * part);
+        let level = v.limit.level + (new.burst - old.burst) / v.hosts;
+        let most = new.burst / v.hosts;
+        v.limit.level = if old.limit > 0.0 { level.clamp(0.0, most) } else { most };
+    }
+
     /// Rule 5: until when, at least, another transfer or an unknown outcome keeps the key from this one.
     fn turn_wait(&self, id: XferId, x: &Xfer) -> Option<Instant> {
         self.turns.get(&x.turn?)?.wait(id, self.now)
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,14 +28,6 @@
     }
 }
 
-pub struct Plan {
-    pub limit: f64,
-    pub burst: f64,
-    pub slack: f64,
-    pub reserve: f64,
-    pub weight: f64,
-}
-
 pub struct Stream {
     pub slo: Span,
     pub rank: usize,
@@ -46,6 +38,7 @@
 
 pub struct Volume {
     pub seen: Instant, // when a transfer of it last came
+    pub plan: PlanId,
     pub hosts: f64,
     pub limit: Bucket,
     pub reserve: Bucket,
@@ -153,10 +146,11 @@
 }
 
 impl Volume {
-    pub fn new(now: Instant, hosts: f64, drawn: f64) -> Self {
+    pub fn new(now: Instant, plan: PlanId, hosts: f64, drawn: f64) -> Self {
         let limit = Bucket { level: drawn, at: now };
         Volume {
             seen: now,
+            plan,
             hosts,
             limit,
             reserve: Bucket { level: 0.0, at: now },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{secs, sent, Desk};
-use tackmast::interface::{Decision, Effect, Group, ListKind, NodeState, Outcome};
+use tackmast::interface::{Decision, Effect, Group, ListKind, NodeState, Outcome, Plan, PlanId};
 
 fn keyed(window: f64) -> Effect {
     Effect::Keyed { group: Group::Shard, window: secs(window) }
@@ -303,3 +303,145 @@
         assert_eq!(largest > 0, burst >= 16.0 * f64::from(hosts), "{hosts} hosts of {burst}: {largest}");
     }
 }
+
+/// Rule 7 for a limit that moves, as docs/plans.md words it: what all hosts together may still draw.
+struct Store {
+    room: f64,
+    at: f64,
+}
+
+impl Store {
+    /// `force`: rate and burst of each version that some host may still go by. What is left, less than nothing by the
+    /// slack at most.
+    fn draw(&mut self, now: f64, force: &[(f64, f64)], units: f64) -> f64 {
+        let rate = force.iter().map(|f| f.0).fold(0.0, f64::max);
+        let burst = force.iter().map(|f| f.1).fold(0.0, f64::max);
+        self.room = (self.room + rate * (now - self.at)).min(burst) - units;
+        self.at = now;
+        self.room
+    }
+}
+
+#[test]
+fn a_limit_that_moves_is_kept_by_hosts_that_learn_of_it_apart() {
+    // Limits and bursts, one after the other every 10 s; when the two hosts learn of each, within the 2 s after which it is
+    // in force; the least that is drawn in the last 8 s, in parts of what the last one gives.
+    type Case<'a> = (&'a str, &'a [(f64, f64)], [f64; 2], f64);
+    let table: &[Case] = &[
+        ("lowered under a flood", &[(40.0, 80.0), (8.0, 16.0)], [0.0, 1.9], 0.7),
+        ("lowered, the other way round", &[(40.0, 80.0), (8.0, 16.0)], [1.9, 0.0], 0.7),
+        ("raised", &[(8.0, 16.0), (40.0, 80.0)], [0.0, 1.9], 0.7),
+        ("only the burst falls", &[(10.0, 80.0), (10.0, 16.0)], [0.5, 1.5], 0.7),
+        ("down, up, down", &[(20.0, 40.0), (8.0, 16.0), (20.0, 40.0), (8.0, 16.0)], [0.0, 1.9], 0.7),
+        ("down to nearly nothing", &[(40.0, 80.0), (0.5, 8.0)], [0.0, 1.9], 0.0),
+    ];
+    for (name, versions, learn, least) in table {
+        let mut desks: Vec<Desk> = (0..2).map(|h| Desk::of(h, 2, Effect::Repeatable, false)).collect();
+        let figures =
+            |(limit, burst): (f64, f64)| Plan { limit, burst, slack: 4.0, reserve: 0.0, weight: 1.0 };
+        for d in &mut desks {
+            d.ready(4);
+            d.s.plan_changed(d.at(), PlanId(4), figures(versions[0]));
+        }
+        let mut store = Store { room: versions[0].1, at: 100.0 };
+        let end = 10 * versions.len() as u32;
+        let mut last = 0.0;
+        for step in 0..end * 100 {
+            let now = 100.0 + f64::from(step) * 0.01;
+            let version = (step / 1000) as usize;
+            let since = f64::from(step % 1000) * 0.01;
+            let force = match version {
+                v if v > 0 && since < 2.0 => &versions[v - 1..=v],
+                v => &versions[v..=v],
+            };
+            for (h, d) in desks.iter_mut().enumerate() {
+                d.now = now;
+                if version > 0 && step % 1000 == (learn[h] * 100.0) as u32 {
+                    d.s.plan_changed(d.at(), PlanId(4), figures(versions[version]));
+                }
+                _ = d.take(0, 4, 0, 2.0, (step % 4) as i32, step);
+                for (x, _) in d.pull().iter().filter_map(sent).collect::<Vec<_>>() {
+                    let room = store.draw(now, force, 2.0);
+                    assert!(room >= -4.0, "{name}: {room} units left at {now}");
+                    last += if step >= end * 100 - 800 { 2.0 } else { 0.0 };
+                    d.end(x, 0, Outcome::Done, 0.01);
+                }
+            }
+        }
+        let gives = versions[versions.len() - 1].0 * 8.0;
+        assert!(last >= least * gives, "{name}: {last} drawn of {gives}");
+    }
+}
+
+#[test]
+fn a_volume_that_comes_under_a_limit_starts_with_nothing_saved_and_nothing_owed() {
+    // What it drew while it had no limit; whether its plan gets one, or it moves to a plan that has one.
+    for (drawn, moves) in [(0, false), (50, false), (50, true)] {
+        let mut d = Desk::new(2, Effect::Repeatable, false);
+        d.ready(1);
+        for i in 0..drawn {
+            let id = d.take(0, 3, 0, 2.0, 0, i);
+            assert_eq!(d.pull().len(), 1);
+            d.end(id, 0, Outcome::Done, 0.01);
+            d.now += 0.01;
+        }
+        let plan = if moves { 0 } else { 3 };
+        if !moves {
+            let limited = Plan { limit: 10.0, burst: 40.0, slack: 4.0, reserve: 0.0, weight: 1.0 };
+            d.s.plan_changed(d.at(), PlanId(3), limited);
+        }
+        let (start, mut units) = (d.now, 0.0);
+        for i in 0..100 {
+            d.take(0, plan, 0, 2.0, 0, 1000 + i);
+            let end = d.now + 0.05;
+            for (x, _) in d.until(end).iter().filter_map(|(_, x)| sent(x)) {
+                units += 2.0;
+                d.end(x, 0, Outcome::Done, 0.01);
+            }
+        }
+        let part = (d.now - start) * 5.0;
+        assert!(units >= 0.8 * part, "{drawn} {moves}: {units} of {part}: nothing is owed");
+        // One that was never seen before starts as at any start of a host.
+        let most = part + 4.0;
+        assert!(units <= most, "{drawn} {moves}: {units} of {most}");
+    }
+}
+
+#[test]
+fn what_can_never_leave_is_answered_at_once_and_holds_nobody() {
+    // Why: larger than its host's part of the burst, or a mark that nodes no longer know. The answer is final, comes at
+    // once and says when to come back where a retry is safe.
+    for over in [true, false] {
+        let mut d = Desk::new(2, keyed(0.2), false);
+        d.ready(1);
+        let plan = if over { 0 } else { 3 };
+        let first = d.take(0, plan, 0, if over { 21.0 } else { 2.0 }, 0, 1);
+        let second = d.take(0, plan, 0, 2.0, 0, 2);
+        let mut given_up = d.now;
+        let mut all = d.pull();
+        if !over {
+            assert_eq!(all.iter().filter_map(sent).map(|s| s.0).collect::<Vec<_>>(), [first, second]);
+            // Its error comes when the mark is nearly forgotten; the pause before a further leg outlasts it.
+            d.now += 0.17;
+            d.end(first, 0, Outcome::Error, 0.17);
+            given_up = d.now + 0.03;
+            d.end(second, 0, Outcome::Done, 0.17);
+            let end = d.now + 0.05;
+            all = d.until(end).into_iter().map(|(_, x)| x).collect();
+        }
+        let answer = all.iter().find(
+            |x| matches!(x, Decision::Defer { xfer, .. } | Decision::Abandon { xfer } if *xfer == first),
+        );
+        match answer {
+            Some(Decision::Defer { come_back, .. }) => assert!(over && *come_back == Some(secs(1.0))),
+            Some(Decision::Abandon { .. }) => assert!(!over),
+            _ => panic!("{over}: no answer by {} in {all:?}", given_up + 0.02),
+        }
+        let end = d.now + 0.3;
+        let later = d.until(end);
+        assert!(
+            !over || later.iter().filter_map(|(_, x)| sent(x)).any(|s| s.0 == second),
+            "one behind it leaves"
+        );
+    }
+}
