The rule checker judges limits that move, by what some host may still go by

Cause: rule 7 was checked against one set of figures for the whole trace, so a limit changed while it runs could not be judged. Change: a trace tells of a plan's change, when it was acknowledged and from when on it is in force; the checker keeps a store that fills at the largest rate that counts at a moment and holds the largest burst, as docs/plans.md words it. It takes nothing from the module.

--- a/crates/rulecheck/src/index.rs
+++ b/crates/rulecheck/src/index.rs
@@ -76,6 +76,16 @@
     pub started_us: u64,
 }
 
+/// Figures of a volume's limit, from their acknowledgement until the next ones are in force.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    pub from: u64,
+    pub until: u64,
+    pub limit: f64,
+    pub burst: f64,
+    pub slack: f64,
+}
+
 pub struct Index {
     pub facts: Facts,
     pub commands: Vec<Command>,
@@ -87,6 +97,8 @@
     /// By host and node: from when on operators have it out of service, and from when on no longer.
     pub ordered: HashMap<(u32, String), Vec<(u64, bool)>>,
     pub lives: Vec<NodeLife>,
+    /// By volume, the oldest first.
+    pub figures: BTreeMap<u32, Vec<Figures>>,
     pub host_ups: Vec<(u64, u32)>,
     pub end: u64,
     pub unfit: Option<String>,
@@ -99,7 +111,12 @@
             _ => None,
         });
         let facts = facts.ok_or("no line of facts; expected one at the start of the trace")?;
+        let told = facts.volumes.iter().map(|v| {
+            let first = Figures { from: 0, until: u64::MAX, limit: v.limit, burst: v.burst, slack: v.slack };
+            (v.volume, vec![first])
+        });
         let mut x = Index {
+            figures: told.collect(),
             facts,
             commands: Vec::new(),
             legs: Vec::new(),
@@ -242,6 +259,14 @@
                 Event::Ordered { host, node, out } => {
                     x.ordered.entry((*host, node.clone())).or_default().push((t, *out));
                 }
+                Event::PlanMoved { volume, limit, burst, slack, in_force_us } => {
+                    let of = x.figures.entry(*volume).or_default();
+                    // Hosts that act a little late by their own clocks are within the skew.
+                    let until = in_force_us + x.facts.skew_us;
+                    of.iter_mut().for_each(|f| f.until = f.until.min(until));
+                    let (limit, burst, slack) = (*limit, *burst, *slack);
+                    of.push(Figures { from: t, until: u64::MAX, limit, burst, slack });
+                }
                 Event::Told { host, node, state, started_us } => {
                     let told = Told { t, state: *state, started_us: *started_us };
                     x.told.entry((*host, node.clone())).or_default().push(told);
--- a/crates/rulecheck/src/rules.rs
+++ b/crates/rulecheck/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules, one function each. `skew` is how far two ends of a socket may see the same thing apart.
 
-use crate::index::{Index, Leg};
+use crate::index::{Figures, Index, Leg};
 use crate::{Break, RuleReport};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use tackmast_trace::{AnswerKind, EffectKind, ListedState};
@@ -310,26 +310,55 @@
     report(6, "budget", cases, checked, breaks)
 }
 
-/// 7: all hosts together never pass a volume's limit plus its slack.
+/// What counts of a volume's limit at a moment: the largest of the figures that some host may go by.
+fn counting(figures: &[Figures], t: u64) -> Figures {
+    let none = Figures { from: t, until: t, limit: 0.0, burst: 0.0, slack: 0.0 };
+    let all = figures.iter().filter(|f| f.from <= t && t < f.until);
+    all.fold(none, |most, f| {
+        // Without a limit all may pass.
+        let (limit, burst) = if f.limit > 0.0 { (f.limit, f.burst) } else { (f64::INFINITY, f64::INFINITY) };
+        let (limit, burst) = (most.limit.max(limit), most.burst.max(burst));
+        Figures { limit, burst, slack: most.slack.max(f.slack), ..most }
+    })
+}
+
+/// 7: all hosts together never pass a volume's limit plus its slack. Where the limit moves, the store holds at each moment
+/// what the figures that count then let it hold, and fills at their rate.
 pub fn limits(x: &Index) -> RuleReport {
     let mut breaks = Vec::new();
     let mut checked = 0;
-    for v in x.facts.volumes.iter().filter(|v| v.limit > 0.0) {
+    let limited = |(_, figures): &(&u32, &Vec<Figures>)| figures.iter().any(|f| f.limit > 0.0);
+    for (volume, figures) in x.figures.iter().filter(limited) {
         let mut firsts: Vec<&Leg> = x.xfers.values().map(|legs| &x.legs[legs[0]]).collect();
-        firsts.retain(|l| l.volume == v.volume);
+        firsts.retain(|l| l.volume == *volume);
         firsts.sort_by_key(|l| l.t);
-        let mut level = v.burst;
+        let mut edges: Vec<u64> = figures.iter().flat_map(|f| [f.from, f.until]).collect();
+        edges.sort_unstable();
         let mut last = firsts.first().map_or(0, |l| l.t);
+        let mut room = counting(figures, last).burst;
+        let fill = |room: f64, from: u64, to: u64| {
+            let now = counting(figures, from);
+            let added = if to > from { (to - from) as f64 / 1e6 * now.limit } else { 0.0 };
+            (room + added).min(now.burst)
+        };
         for leg in firsts {
+            for edge in edges.iter().filter(|e| **e > last && **e <= leg.t).copied().collect::<Vec<_>>() {
+                room = fill(room, last, edge);
+                last = edge;
+            }
+            room = fill(room, last, leg.t);
+            last = leg.t;
+            let now = counting(figures, leg.t);
+            if now.limit.is_infinite() {
+                continue;
+            }
             checked += 1;
             // A host that counts fewer units than the bytes make draws more than it says.
-            let units = leg.units.max(leg.told_units);
-            level = (level + (leg.t - last) as f64 / 1e6 * v.limit).min(v.burst) - units;
-            last = leg.t;
-            let floor = -(v.slack + v.limit * x.facts.skew_us as f64 / 1e6);
-            if level < floor - ROUNDING {
+            room -= leg.units.max(leg.told_units);
+            let floor = -(now.slack + now.limit * x.facts.skew_us as f64 / 1e6);
+            if room < floor - ROUNDING {
                 let what =
-                    format!("volume {} is {:.1} units past its limit; slack {}", v.volume, -level, v.slack);
+                    format!("volume {volume} is {:.1} units past its limit; slack {}", -room, now.slack);
                 breaks.push(broken(x, 7, leg, what));
             }
         }
--- a/crates/rulecheck/tests/doctored.rs
+++ b/crates/rulecheck/tests/doctored.rs
@@ -110,6 +110,19 @@
         self.submit(t, command, stream).leg(t + 1, node, command, 0);
         self.end(t + 5, node, command, 0, LegEndKind::Done).answer(t + 6, command, AnswerKind::Done)
     }
+    /// Volume 1 has other figures, in force at the last time.
+    fn moved(&mut self, t: u64, limit: f64, burst: f64, in_force: u64) -> &mut Self {
+        let in_force_us = in_force * 1000;
+        self.at(t, Event::PlanMoved { volume: 1, limit, burst, slack: 4.0, in_force_us })
+    }
+    /// So many transfers of eight units of volume 1, numbered from the first.
+    fn drawn(&mut self, t: u64, first: u32, n: u32) -> &mut Self {
+        for c in first..first + n {
+            self.submit(t, c, 0).leg_of(t + 1, "a", c, 0, 1, 4096 * 8, 0);
+            self.end(t + 20, "a", c, 0, LegEndKind::Done).answer(t + 21, c, AnswerKind::Done);
+        }
+        self
+    }
     fn lines(mut self) -> Vec<Line> {
         self.at(10_000, Event::Trouble { what: "end".into(), on: false });
         self.0.sort_by_key(|l| l.t);
@@ -303,6 +316,30 @@
                 s.end(t + 2, "a", c, 0, LegEndKind::Done).answer(t + 3, c, Done);
             }
         }),
+        ("by the old burst while hosts learn of the new one", 0, |s| {
+            s.moved(50, 10.0, 8.0, 500).drawn(101, 1, 3);
+        }),
+        ("by the old burst when the new one is in force", 7, |s| {
+            s.moved(50, 10.0, 8.0, 500).drawn(600, 1, 3);
+        }),
+        ("what is left of an old burst is void once the new one is in force", 7, |s| {
+            s.moved(50, 10.0, 8.0, 500).drawn(101, 1, 1).drawn(600, 2, 2);
+        }),
+        ("a burst that is raised fills first", 7, |s| {
+            s.drawn(50, 1, 3).moved(60, 10.0, 80.0, 500).drawn(600, 4, 3);
+        }),
+        ("a higher rate counts from its acknowledgement", 0, |s| {
+            s.drawn(50, 1, 2).moved(60, 100.0, 20.0, 500).drawn(300, 4, 2);
+        }),
+        ("the old rate when a lower one is in force", 7, |s| {
+            s.drawn(50, 1, 2).moved(60, 0.1, 20.0, 500).drawn(1600, 4, 2);
+        }),
+        ("no limit any more", 0, |s| {
+            s.moved(50, 0.0, 0.0, 500).drawn(101, 1, 9).drawn(2000, 10, 9);
+        }),
+        ("a limit where there was none is in force", 7, |s| {
+            s.moved(50, 0.0, 0.0, 500).drawn(101, 1, 9).moved(600, 10.0, 20.0, 900).drawn(1000, 10, 4);
+        }),
         ("up to the limit and its slack", 0, |s| {
             for c in 1..=3 {
                 s.submit(100, c, 0).leg_of(101, "a", c, 0, 1, 4096 * 8, 0).answer(150, c, Done);
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -196,6 +196,14 @@
         node: String,
         out: bool,
     },
+    /// Operator side: a change of a volume's plan was acknowledged. The figures before it may still be gone by until then.
+    PlanMoved {
+        volume: u32,
+        limit: f64,
+        burst: f64,
+        slack: f64,
+        in_force_us: u64,
+    },
     /// A trouble of the script begins or ends.
     Trouble {
         what: String,
