--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod log;
 mod measure;
 mod orders;
+mod plans;
 mod platform;
 mod serve;
 mod stand;
@@ -61,6 +62,9 @@
     /// Orders of operators that end by themselves: a weight, out of service, pinned in service.
     #[command(subcommand)]
     Override(orders::OverrideCommand),
+    /// Plans, and which volume is under which, changed while hosts run; with a trail that can be proved.
+    #[command(subcommand)]
+    Plan(plans::PlanCommand),
     /// Shows what hosts are doing, and what each node is given.
     Status {
         #[command(flatten)]
@@ -119,6 +123,7 @@
         Command::NodeList { listen } => stand::node_list(listen),
         Command::Io(c) => io::run(c),
         Command::Override(c) => orders::run(c),
+        Command::Plan(c) => plans::run(c),
         Command::Status { hosts } => orders::status(&hosts),
         Command::Members { hosts } => orders::members(&hosts),
         Command::Day(a) => day::day(&a),
--- a/crates/cli/src/orders.rs
+++ b/crates/cli/src/orders.rs
@@ -197,6 +197,7 @@
         }
         Reply::Explain(e) => explain(e),
         Reply::Members(m) => members_shown(m),
+        Reply::Plan(p) => println!("{p:?}"),
         Reply::Status(s) => {
             println!(
                 "host {}: {} commands open, {} legs out; taken {}, done {}, deferred {}, abandoned {}",
@@ -301,7 +302,7 @@
     humantime::format_duration(Duration::from_secs(seconds.max(0.0).round() as u64)).to_string()
 }
 
-fn time(us: u64) -> String {
+pub fn time(us: u64) -> String {
     let at = UNIX_EPOCH.checked_add(Duration::from_micros(us)).unwrap_or(SystemTime::UNIX_EPOCH);
     humantime::format_rfc3339_seconds(at).to_string()
 }
--- /dev/null
+++ b/crates/cli/src/plans.rs
@@ -0,0 +1,318 @@
+//! `tackmast plan`: plans that change while hosts run, over the admin socket of the host that takes changes.
+
+use crate::orders::time;
+use hcl::{Block, Body};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use tackmast_admin::{Answer, Call};
+use tackmast_config::{Document, Place};
+use tackmast_hostcore::{Ask, PlanAsk, PlanReply, PlanStatus, Reply};
+use tackmast_plans::{Catalogue, Change, Fleet, Plan, Step, Trail};
+
+const PATIENCE: Duration = Duration::from_secs(15);
+
+#[derive(clap::Args)]
+pub struct Home {
+    /// Admin socket of a host. Changes are taken by one of them alone; another names it.
+    #[arg(long = "host", value_name = "SOCKET")]
+    host: PathBuf,
+    /// Prints the answer as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(clap::Args)]
+pub struct By {
+    /// Who changes it.
+    #[arg(long, env = "USER")]
+    who: String,
+    /// Why; it stays in the trail.
+    #[arg(long)]
+    why: String,
+    /// Only tells what would move.
+    #[arg(long)]
+    dry_run: bool,
+}
+
+#[derive(clap::Subcommand)]
+pub enum PlanCommand {
+    /// Prints the plans and the volumes under them, as HCL that `apply` takes.
+    Show {
+        #[command(flatten)]
+        home: Home,
+    },
+    /// Tells what a file would move.
+    Diff {
+        file: PathBuf,
+        #[command(flatten)]
+        home: Home,
+    },
+    /// Sets what a file says otherwise: `plan` blocks with all figures, and `volume` blocks with the name of a plan.
+    ///
+    /// What the file does not name stays. It is judged as a whole: all of it moves or nothing.
+    Apply {
+        file: PathBuf,
+        /// Plans that are taken away.
+        #[arg(long, value_name = "PLAN")]
+        remove: Vec<String>,
+        /// The version that the file was made on, as `show` told it; without it, the one that holds now.
+        #[arg(long)]
+        base: Option<u64>,
+        #[command(flatten)]
+        by: By,
+        #[command(flatten)]
+        home: Home,
+    },
+    /// Takes a change back, by a new one. It is refused where others have gone on since.
+    Undo {
+        number: u64,
+        #[command(flatten)]
+        by: By,
+        #[command(flatten)]
+        home: Home,
+    },
+    /// Shows who changed what, when and why.
+    Log {
+        /// Proves each entry against the one before, and that they lead to the plans that hold.
+        #[arg(long)]
+        verify: bool,
+        /// A trail as `log --json` printed it, in place of a host's.
+        #[arg(long, value_name = "FILE", conflicts_with = "host")]
+        from: Option<PathBuf>,
+        #[arg(long = "host", value_name = "SOCKET", required_unless_present = "from")]
+        host: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn ask(host: &Path, ask: PlanAsk) -> Result<PlanReply, String> {
+    match tackmast_admin::call(host, &Call::Ask(Ask::Plan(ask)), PATIENCE)? {
+        Answer::Reply(r) => match *r {
+            Reply::Plan(p) => Ok(p),
+            Reply::NotKept { why } => Err(why),
+            other => Err(format!("host {}: {other:?}; expected word of plans", host.display())),
+        },
+        Answer::Error(e) => Err(e),
+        Answer::Audit(_) => Err(format!("host {}: an audit; expected word of plans", host.display())),
+    }
+}
+
+fn shown(host: &Path) -> Result<PlanStatus, String> {
+    match ask(host, PlanAsk::Show)? {
+        PlanReply::Shown(s) => Ok(*s),
+        other => Err(format!("host {}: {other:?}; expected its plans", host.display())),
+    }
+}
+
+pub fn run(command: PlanCommand) -> Result<ExitCode, String> {
+    match command {
+        PlanCommand::Show { home } => {
+            let s = shown(&home.host)?;
+            match home.json {
+                true => println!("{}", serde_json::to_string(&s).map_err(|e| e.to_string())?),
+                false => show(&s)?,
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        PlanCommand::Diff { file, home } => {
+            let by = By { who: "diff".into(), why: "what would move".into(), dry_run: true };
+            apply(&file, &[], None, by, &home)
+        }
+        PlanCommand::Apply { file, remove, base, by, home } => apply(&file, &remove, base, by, &home),
+        PlanCommand::Undo { number, by, home } => {
+            let By { who, why, dry_run } = by;
+            told(ask(&home.host, PlanAsk::Undo { number, who, why, dry_run })?, home.json)
+        }
+        PlanCommand::Log { verify, from, host, json } => {
+            let reply = match (from, host) {
+                (Some(file), _) => read_log(&file)?,
+                (None, Some(host)) => ask(&host, PlanAsk::Log)?,
+                (None, None) => {
+                    return Err("--host: missing; expected a socket, or --from with a file".into())
+                }
+            };
+            let PlanReply::Log { text, fleet } = &reply else { return told(reply, json) };
+            if verify {
+                return prove(text, fleet);
+            }
+            match json {
+                true => println!("{}", serde_json::to_string(&reply).map_err(|e| e.to_string())?),
+                false => log(text, fleet)?,
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn read_log(file: &Path) -> Result<PlanReply, String> {
+    let at = |e: String| format!("{}: {e}; expected what `plan log --json` printed", file.display());
+    let text = std::fs::read_to_string(file).map_err(|e| at(e.to_string()))?;
+    serde_json::from_str(&text).map_err(|e| at(e.to_string()))
+}
+
+fn prove(text: &str, fleet: &Fleet) -> Result<ExitCode, String> {
+    // A last line without its end is left out when a store is read; here all of it was sent.
+    if !text.ends_with('\n') {
+        return Err("the trail: its last line is cut; expected all of it".into());
+    }
+    let trail = Trail::from_bytes(text.as_bytes(), fleet).map_err(|e| format!("the trail: {e}"))?;
+    let (number, digest) = trail.newest();
+    println!("{} changes are as they were written, up to {number}; digest {digest}", trail.entries.len());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn log(text: &str, fleet: &Fleet) -> Result<(), String> {
+    let trail = Trail::from_bytes(text.as_bytes(), fleet).map_err(|e| format!("the trail: {e}"))?;
+    let mut at = trail.anchor.catalogue.clone();
+    for e in &trail.entries {
+        println!("{:>6}  {}  {:<10} {}", e.number, time(e.at_us), e.change.who, e.change.why);
+        let next = at.apply(&e.change, fleet).map_err(|r| r.to_string())?.catalogue;
+        at.diff(&next).iter().for_each(|l| println!("        {l}"));
+        at = next;
+    }
+    Ok(())
+}
+
+fn show(s: &PlanStatus) -> Result<(), String> {
+    println!("# version {}, change {}; host {} takes changes", s.catalogue.version, s.number, s.home);
+    if s.in_force_s > 0.0 {
+        println!("# hosts may go by the change before for {:.1} s more", s.in_force_s);
+    }
+    let behind: Vec<String> =
+        s.at.iter().filter(|(_, n)| **n < s.number).map(|(h, n)| format!("{h} by {n}")).collect();
+    if !behind.is_empty() {
+        println!("# hosts that last said they go by an older one: {}", behind.join(", "));
+    }
+    let mut body = Body::builder();
+    for (name, p) in &s.catalogue.plans {
+        let figures = [("limit", p.limit), ("burst", p.burst), ("slack", p.slack), ("reserve", p.reserve)];
+        let block = Block::builder("plan").add_label(name.as_str()).add_attributes(figures);
+        body = body.add_block(block.add_attribute(("weight", p.weight)).build());
+    }
+    for (name, v) in &s.catalogue.volumes {
+        let block =
+            Block::builder("volume").add_label(name.as_str()).add_attribute(("plan", v.plan.as_str()));
+        body = body.add_block(block.build());
+    }
+    print!("{}", hcl::to_string(&body.build()).map_err(|e| e.to_string())?);
+    Ok(())
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VolumeUnder {
+    plan: String,
+}
+
+/// The steps that make what a file says so.
+pub fn steps(file: &str, text: &str, now: &Catalogue, remove: &[String]) -> Result<Vec<Step>, String> {
+    let doc = Document::parse(file, text).map_err(|e| e.to_string())?;
+    doc.only(&["plan", "volume"]).map_err(|e| e.to_string())?;
+    let mut steps = Vec::new();
+    for f in doc.blocks::<Plan>("plan", true).map_err(|e| e.to_string())? {
+        if now.plans.get(&f.label) != Some(&f.value) {
+            steps.push(Step::Plan { name: f.label, to: Some(f.value) });
+        }
+    }
+    let mut seen = BTreeMap::new();
+    for f in doc.blocks::<VolumeUnder>("volume", true).map_err(|e| e.to_string())? {
+        let wrong = |found: &str, expected: &str| {
+            doc.wrong(&Place { kind: "volume", label: &f.label, name: "plan" }, found, expected).to_string()
+        };
+        let Some(v) = now.volumes.get(&f.label) else {
+            return Err(wrong("no such volume", "one that `plan show` names"));
+        };
+        if seen.insert(f.label.clone(), ()).is_some() {
+            return Err(wrong("named twice", "one block for a volume"));
+        }
+        if v.plan != f.value.plan {
+            let to = tackmast_plans::Volume { plan: f.value.plan, ..v.clone() };
+            steps.push(Step::Volume { name: f.label, to: Some(to) });
+        }
+    }
+    steps.extend(remove.iter().map(|name| Step::Plan { name: name.clone(), to: None }));
+    Ok(steps)
+}
+
+fn apply(file: &Path, remove: &[String], base: Option<u64>, by: By, home: &Home) -> Result<ExitCode, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}; expected a file of plans"))?;
+    let s = shown(&home.host)?;
+    let steps = steps(&name, &text, &s.catalogue, remove)?;
+    if steps.is_empty() {
+        println!("nothing moves: version {} is as the file says", s.catalogue.version);
+        return Ok(ExitCode::SUCCESS);
+    }
+    let By { who, why, dry_run } = by;
+    let change = Change { base: base.unwrap_or(s.catalogue.version), steps, who, why };
+    told(ask(&home.host, PlanAsk::Apply { change, dry_run })?, home.json)
+}
+
+fn told(reply: PlanReply, json: bool) -> Result<ExitCode, String> {
+    if json {
+        println!("{}", serde_json::to_string(&reply).map_err(|e| e.to_string())?);
+    }
+    match reply {
+        PlanReply::Refused { why } => Err(format!("refused: {why}")),
+        PlanReply::Applied { number, version, lines, in_force_s, dry_run } if !json => {
+            lines.iter().for_each(|l| println!("{l}"));
+            match dry_run {
+                true => println!("nothing has moved; it would be change {number}, version {version}"),
+                false => {
+                    println!("change {number}, version {version}; all hosts go by it in {in_force_s:.1} s")
+                }
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        _ => Ok(ExitCode::SUCCESS),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_moves_what_it_says_otherwise_and_names_what_is_wrong() {
+        let mut now = Catalogue::default();
+        now.plans.insert("a".into(), Plan { limit: 1.0, burst: 9.0, slack: 1.0, reserve: 0.0, weight: 1.0 });
+        let v = tackmast_plans::Volume {
+            lun: 0,
+            plan: "a".into(),
+            blocks: 1,
+            extent_blocks: 1,
+            shards: vec![0],
+            through: vec![0],
+            reads: "s".into(),
+            writes: "s".into(),
+        };
+        now.volumes.insert("v".into(), v);
+        let plan = |limit: u32| {
+            format!(
+                "plan \"a\" {{\n limit = {limit}\n burst = 9\n slack = 1\n reserve = 0\n weight = 1\n}}\n"
+            )
+        };
+        // The file, what is taken away, and how many steps it makes, or a part of its error.
+        for (text, remove, expected) in [
+            (plan(1), vec![], Ok(0)),
+            (plan(2), vec![], Ok(1)),
+            (plan(1), vec!["b".to_owned()], Ok(1)),
+            ("volume \"v\" {\n plan = \"b\"\n}".into(), vec![], Ok(1)),
+            ("volume \"w\" {\n plan = \"b\"\n}".into(), vec![], Err("no such volume")),
+            ("volume \"v\" {\n size = 3\n}".into(), vec![], Err("size")),
+            ("plan \"a\" {\n limit = \"x\"\n}".into(), vec![], Err("limit")),
+            ("host \"a\" { }".into(), vec![], Err("host")),
+            ("plan {".into(), vec![], Err("expected an HCL document")),
+        ] {
+            match (steps("f.hcl", &text, &now, &remove), expected) {
+                (Ok(s), Ok(n)) => assert_eq!(s.len(), n, "{text}"),
+                (Err(e), Err(part)) => assert!(e.contains("f.hcl:") && e.contains(part), "{text}: {e}"),
+                (found, _) => panic!("{text}: {found:?}"),
+            }
+        }
+    }
+}
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -164,6 +164,25 @@
     0.001
 }
 
+/// `plans { ... }`: plans change while hosts run. Without the block they are as these settings say.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlansBlock {
+    /// The number of the host that takes changes.
+    pub home: u32,
+    /// From a change's acknowledgement until all hosts go by it.
+    #[serde(default = "settle_s")]
+    pub settle_s: f64,
+    /// Units a second that a shard's node is told to bear, and those that bear otherwise, by shard.
+    pub node_units: f64,
+    #[serde(default)]
+    pub bears: std::collections::BTreeMap<String, f64>,
+}
+
+fn settle_s() -> f64 {
+    5.0
+}
+
 /// `units { ... }`: how a transfer's size counts.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -346,12 +365,13 @@
     pub cold: Option<ColdNodes>,
     pub overrides: Option<OverridesBlock>,
     pub membership: Option<MembershipBlock>,
+    pub plans_live: Option<PlansBlock>,
     pub streams: Vec<Stream>,
     pub plans: Vec<Plan>,
     pub volumes: Vec<Volume>,
 }
 
-const BLOCKS: [&str; 11] = [
+const BLOCKS: [&str; 12] = [
     "host",
     "bounds",
     "units",
@@ -360,6 +380,7 @@
     "cold_nodes",
     "overrides",
     "membership",
+    "plans",
     "stream",
     "plan",
     "volume",
@@ -458,6 +479,27 @@
                 return Err(doc.wrong(&at, format!("{:?}", m.fleet), "a name of 1 to 32 bytes"));
             }
         }
+        let plans_live: Option<PlansBlock> = doc.blocks("plans", false)?.pop().map(|f| f.value);
+        if let Some(p) = &plans_live {
+            whole("plans", "home", u64::from(p.home), 0, u64::from(host.hosts) - 1)?;
+            within("plans", "", "settle_s", p.settle_s, 0.1, 3600.0)?;
+            within("plans", "", "node_units", p.node_units, 0.0, 1e12)?;
+            for (shard, units) in &p.bears {
+                within("plans", "", "bears", *units, 0.0, 1e12)?;
+                if shard.parse::<u32>().is_err() {
+                    let at = Place { kind: "plans", label: "", name: "bears" };
+                    return Err(doc.wrong(&at, format!("{shard:?}"), "numbers of shards as names"));
+                }
+            }
+            if overrides.is_none() {
+                let at = Place { kind: "plans", label: "", name: "" };
+                return Err(doc.wrong(
+                    &at,
+                    "no overrides block",
+                    "one: its store keeps the trail of changes",
+                ));
+            }
+        }
         if let Some(f) = &further_legs {
             within("further_legs", "", "free", f.free, 0.0, 1e9)?;
             within("further_legs", "", "share", f.share, 0.0, 1e3)?;
@@ -576,6 +618,13 @@
                 let expected = format!("{} different numbers below {}", v.hosts, host.hosts);
                 return Err(wrong("through", format!("{:?}", v.through), &expected));
             }
+            if v.through.is_empty() && plans_live.is_some() {
+                return Err(wrong(
+                    "through",
+                    "none".into(),
+                    "the numbers of its hosts, as there is a plans block",
+                ));
+            }
             // More than a host's part of the burst never passes, so the largest must fit into it.
             let p = &plans[plan];
             if p.limit > 0.0 && p.burst / f64::from(v.hosts) < units.most {
@@ -628,6 +677,7 @@
             cold,
             overrides,
             membership,
+            plans_live,
             streams,
             plans,
             volumes,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,5 +7,5 @@
 pub use document::{ConfigError, Document, Place};
 pub use host::{
     Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, MembershipBlock, OverridesBlock, Plan,
-    Stream, Units, Volume,
+    PlansBlock, Stream, Units, Volume,
 };
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,7 +21,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tackmast_config::{HostSettings, OverridesBlock};
-use tackmast_hostcore::{Core, Keep};
+use tackmast_hostcore::{Core, Keep, Plans};
 use tackmast_keep::Store;
 use tackmast_overrides::Overrides;
 
@@ -42,6 +42,8 @@
     Admin(String),
     #[error(transparent)]
     Store(#[from] tackmast_keep::KeepError),
+    #[error("plans: {0}. Nothing was changed. To begin anew by the settings, move the store away")]
+    Plans(#[from] tackmast_plans::TrailError),
     #[error("thread {name}: {error}; expected to start it")]
     Thread { name: String, error: io::Error },
 }
@@ -53,6 +55,7 @@
     pub nbd: Option<SocketAddr>,
     /// Where other hosts reach it.
     pub peers: Option<SocketAddr>,
+    admin: Option<std::path::PathBuf>,
     stopping: Arc<AtomicBool>,
     urgent: Sender<core_thread::Event>,
     threads: Vec<JoinHandle<()>>,
@@ -69,6 +72,7 @@
 /// Opens the store, hands what it held to the core, and lets operators in.
 fn overrides(
     o: &OverridesBlock,
+    settings: &HostSettings,
     core: &mut Core,
     clock: Clock,
     urgent: &Sender<core_thread::Event>,
@@ -76,8 +80,8 @@
 ) -> Result<Sender<admin::ToStore>, StartError> {
     let (store, held) = Store::open(&o.store)?;
     let (now, wall_us) = (clock.now(), Clock::wall_us());
-    let settings = tackmast_overrides::Settings { most: o.most, zone_part: o.zone_part };
-    let (overrides, ended) = Overrides::new(now, wall_us, settings, held.overrides, held.next);
+    let bounds = tackmast_overrides::Settings { most: o.most, zone_part: o.zone_part };
+    let (overrides, ended) = Overrides::new(now, wall_us, bounds, held.overrides, held.next);
     core.wall_seen(now, wall_us);
     let mut keep = Keep::default();
     for e in ended {
@@ -86,6 +90,10 @@
         keep.audits.push(e.audit);
     }
     core.with_overrides(now, overrides, keep);
+    if let Some(b) = &settings.plans_live {
+        let plans = Plans::new(now, settings, b, &held.trail)?;
+        core.with_plans(now, plans, held.trail.is_empty());
+    }
     let (to_store, from) = crossbeam_channel::bounded(EVENTS);
     admin::keep(store, from, urgent.clone())?;
     admin::start(&o.admin, urgent.clone(), to_store.clone(), stopping.clone())?;
@@ -110,11 +118,12 @@
         let stopping = Arc::new(AtomicBool::new(false));
         let (urgent, urgent_in) = crossbeam_channel::bounded(EVENTS);
         let (events, events_in) = crossbeam_channel::bounded(EVENTS);
+        let admin = settings.overrides.as_ref().map(|o| o.admin.clone());
         let units = Arc::new(tackmast_target::units(&settings, |v| core.layout().most_blocks(v)));
         let mut threads = Vec::new();
         let list = list::start(settings.clone(), clock, urgent.clone(), stopping.clone())?;
         let to_store = match &settings.overrides {
-            Some(o) => Some(overrides(o, &mut core, clock, &urgent, &stopping)?),
+            Some(o) => Some(overrides(o, &settings, &mut core, clock, &urgent, &stopping)?),
             None => None,
         };
         let peers = match &settings.membership {
@@ -144,7 +153,7 @@
             threads.push(sessions::start(house, listener, sessions::Protocol::Nbd, stopping.clone())?);
         }
         tracing::info!(%address, nbd = ?nbd_address, peers = ?peers_address, life, "host listens");
-        Ok(Host { address, nbd: nbd_address, peers: peers_address, stopping, urgent, threads })
+        Ok(Host { address, nbd: nbd_address, peers: peers_address, admin, stopping, urgent, threads })
     }
 
     /// Figures of this moment; none where the host has stopped.
@@ -186,6 +195,10 @@
         for address in [Some(self.address), self.nbd].into_iter().flatten() {
             _ = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(1));
         }
+        // The same for operators' calls, or its thread would keep the store open.
+        if let Some(path) = &self.admin {
+            _ = std::os::unix::net::UnixStream::connect(path);
+        }
     }
 
     /// Ends at once: connections are closed, nothing more is answered.
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -7,6 +7,7 @@
 use crate::nodes::{ListEntry, Nodes};
 use crate::orders::{Ask, Keep, Next, Orders, OrdersStatus, Reply};
 use crate::placed::{Placed, PlacedSettings, Request, VolumeNames};
+use crate::plans::{Holds, Move, PlanAsk, PlanNext, PlanReply, Plans};
 use crate::sharing::{LineName, Place, Sharing};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
@@ -273,6 +274,7 @@
     list_version: u64,
     orders: Option<Orders>,
     fellows: Option<Fellows>,
+    plans: Option<Plans>,
     /// The host is ending: since when, and nothing new is taken.
     draining: bool,
     number: u32,
@@ -347,6 +349,7 @@
             list_version: 0,
             orders: None,
             fellows: None,
+            plans: None,
             draining: false,
             number: 0,
             wall_offset_us: 0,
@@ -420,7 +423,7 @@
         let stream = self.layout.stream(volume, write, blocks);
         let expiry = began + asked.unwrap_or(self.streams[stream].expiry) - self.lead;
         let parts = self.layout.parts(volume, stream, block, blocks);
-        if self.draining {
+        if self.draining || self.clients_wait(now) {
             return self.refuse(from, Some(self.longest_wait));
         }
         if expiry <= now || parts.is_empty() || self.commands.contains_key(&from) {
@@ -536,12 +539,104 @@
         self.draining = true;
     }
 
+    /// Against a host that comes back with plans that have moved meanwhile: a lower limit may be in force by now.
+    fn clients_wait(&mut self, now: Instant) -> bool {
+        let Some(plans) = &mut self.plans else { return false };
+        let up_to_date = self.fellows.as_ref().is_none_or(|f| f.member.papers.is_up_to_date());
+        plans.clients_wait(now, up_to_date)
+    }
+
+    /// Takes plans in that change while the host runs; `first`: nothing of them is kept yet.
+    pub fn with_plans(&mut self, now: Instant, mut plans: Plans, first: bool) {
+        let resumed = plans.resumed();
+        if first {
+            let keep = Keep { changes: vec![(0, plans.anchor_line())], ..Keep::default() };
+            self.outputs.push_back(Output::Keep { request: 0, keep });
+        }
+        if let Some(f) = &mut self.fellows {
+            f.begin_papers(&plans);
+        }
+        self.plans = Some(plans);
+        self.go_by(now, &resumed);
+    }
+
+    pub fn plans(&self) -> Option<&Plans> {
+        self.plans.as_ref()
+    }
+
+    /// Tells the module what moves, and those who lend parts of limits.
+    fn go_by(&mut self, now: Instant, moves: &[Move]) {
+        for m in moves {
+            match m {
+                Move::Plan { plan, figures } => self.scheduler.plan_changed(now, *plan, *figures),
+                Move::Volume { name, plan } => {
+                    let Some(volume) = self.layout.volume_named(name) else { continue };
+                    self.layout.put_under(volume, plan.0);
+                    self.scheduler.volume_moved(now, VolumeId(volume as u32), *plan);
+                }
+            }
+        }
+        let Some((f, plans)) = self.fellows.as_mut().zip(self.plans.as_ref()) else { return };
+        for v in self.layout.volumes() {
+            if let Some((limit, _, _)) = plans.limit_of(&v.name) {
+                f.member.loans.limit_changed(v.lun, limit);
+            }
+        }
+    }
+
+    /// A change holds here: others are told, and it is kept where that has not been done.
+    fn holds(&mut self, now: Instant, h: Holds, kept: bool) {
+        self.mode(h.line);
+        self.go_by(now, &h.moves);
+        if !kept {
+            let keep = Keep { changes: vec![(h.number, h.text.clone())], ..Keep::default() };
+            self.outputs.push_back(Output::Keep { request: 0, keep });
+        }
+        if let Some(f) = &mut self.fellows {
+            f.member.paper_taken(now, h.number, h.mark, Bytes::from(h.text), h.ends);
+        }
+    }
+
+    fn ask_plans(&mut self, now: Instant, request: u64, ask: PlanAsk) {
+        let wall_us = self.wall_us(now);
+        // Against two changes of one number: a home that has lost what others go by takes that back first.
+        let writes = matches!(ask, PlanAsk::Apply { .. } | PlanAsk::Undo { .. });
+        if let Some(n) = self.fellows.as_ref().and_then(|f| f.member.papers.behind()).filter(|_| writes) {
+            let newest = self.plans.as_ref().map_or(0, Plans::newest);
+            let why =
+                format!("others go by change {n}, this host by {newest}; ask again when it has caught up");
+            let reply = Reply::Plan(PlanReply::Refused { why });
+            return self.outputs.push_back(Output::Reply { request, reply });
+        }
+        let next = self.plans.as_mut().and_then(|p| p.ask(now, wall_us, request, ask));
+        match next {
+            None => {}
+            Some(PlanNext::Keep(request, entry)) => {
+                let keep = Keep {
+                    changes: vec![(entry.number, tackmast_plans::Trail::line(&entry))],
+                    ..Keep::default()
+                };
+                self.outputs.push_back(Output::Keep { request, keep });
+            }
+            Some(PlanNext::Reply(request, mut reply)) => {
+                if let (PlanReply::Shown(s), Some(f)) = (&mut reply, &self.fellows) {
+                    s.at = f.member.papers.at().1.clone();
+                }
+                self.outputs.push_back(Output::Reply { request, reply: Reply::Plan(reply) });
+            }
+        }
+    }
+
     /// Takes this host in among others.
     pub fn with_fellows(&mut self, now: Instant, fellows: Fellows) {
         if let Some(orders) = &mut self.orders {
             orders.me = Some(fellows.me());
         }
         self.fellows = Some(fellows);
+        if let Some((f, plans)) = self.fellows.as_mut().zip(self.plans.as_ref()) {
+            f.begin_papers(plans);
+        }
+        self.go_by(now, &[]);
         let standing = self.orders.as_ref().map(|o| o.overrides.list(now)).unwrap_or_default();
         if let Some(f) = &mut self.fellows {
             standing.iter().for_each(|(o, left)| f.stands(now, o, *left));
@@ -597,6 +692,17 @@
                 Followed::Send { to, bytes } => self.outputs.push_back(Output::Datagram { to, bytes }),
                 Followed::Mode(line) => self.mode(line),
                 Followed::Ask(request, ask) => self.ask(now, request, ask),
+                Followed::Paper(p) => {
+                    let Some(plans) = &mut self.plans else { continue };
+                    let ends = f.member.papers.ends(p.number, now);
+                    match plans.came(&p.text, ends) {
+                        Ok(h) => self.holds(now, h, false),
+                        Err(why) => {
+                            f.member.papers.refused();
+                            self.mode(format!("plans: change {} is not taken: {why}", p.number));
+                        }
+                    }
+                }
             }
         }
     }
@@ -756,7 +862,7 @@
         let step = self.orders.as_mut().and_then(|o| o.overrides.wall_seen(now, wall_us));
         if let Some((put, audit)) = step {
             self.mode(audit.what.clone());
-            let keep = Keep { put, remove: Vec::new(), audits: vec![audit] };
+            let keep = Keep { put, audits: vec![audit], ..Keep::default() };
             self.outputs.push_back(Output::Keep { request: 0, keep });
         }
     }
@@ -771,6 +877,10 @@
 
     /// An operator's ask, under a number of the caller's that is not 0.
     pub fn ask(&mut self, now: Instant, request: u64, ask: Ask) {
+        let ask = match ask {
+            Ask::Plan(ask) if self.plans.is_some() => return self.ask_plans(now, request, ask),
+            other => other,
+        };
         let wall_us = self.wall_us(now);
         let Some(orders) = &mut self.orders else {
             let why = "this host has no overrides block in its settings".to_owned();
@@ -801,6 +911,17 @@
 
     /// The store's word on a `Keep`.
     pub fn kept(&mut self, now: Instant, request: u64, result: Result<(), String>) {
+        let plans = self.plans.as_mut().and_then(|p| p.kept(now, request, result.clone()));
+        if let Some((reply, holds)) = plans {
+            if let Some(h) = holds {
+                self.holds(now, h, true);
+                self.follow_fellows(now);
+            }
+            self.outputs.push_back(Output::Reply { request, reply: Reply::Plan(reply) });
+        }
+        if let Some((request, ask)) = self.plans.as_mut().and_then(Plans::next_waiting) {
+            self.ask_plans(now, request, ask);
+        }
         let told = self.orders.as_mut().and_then(|o| o.kept(now, request, result));
         if let Some((reply, line)) = told {
             if let Some(f) = &mut self.fellows {
--- a/crates/hostcore/src/fellows.rs
+++ b/crates/hostcore/src/fellows.rs
@@ -10,7 +10,8 @@
 use tackmast::interface::{Instant, Span};
 use tackmast_config::{HostSettings, MembershipBlock};
 use tackmast_membership::{
-    Do, LoanSettings, Member, MemberSettings, Moved, OrderKind, Output, Shared, SpreadOrder, ViewSettings,
+    Do, LoanSettings, Member, MemberSettings, Moved, OrderKind, Output, Paper, Shared, SpreadOrder,
+    ViewSettings,
 };
 use tackmast_overrides::{Kind, Order, Origin, Override, OverrideId};
 
@@ -44,6 +45,8 @@
     },
     Mode(String),
     Ask(u64, Ask),
+    /// A change of plans.
+    Paper(Paper),
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -126,6 +129,12 @@
         self.me
     }
 
+    /// This host goes by plans that change, and has these changes.
+    pub fn begin_papers(&mut self, plans: &crate::Plans) {
+        let (newest, texts) = plans.papers();
+        self.member.papers.begin(newest, texts.into_iter().map(|(n, t)| (n, Bytes::from(t))));
+    }
+
     pub fn is_own(request: u64) -> bool {
         request >= OWN
     }
@@ -158,6 +167,7 @@
             return Some(match o {
                 Output::Send { to, bytes } => Followed::Send { to, bytes },
                 Output::Mode(line) => Followed::Mode(line),
+                Output::Paper(p) => Followed::Paper(p),
                 Output::Do(d) => match self.asked(d) {
                     Some(ask) => {
                         self.asks += 1;
--- a/crates/hostcore/src/layout.rs
+++ b/crates/hostcore/src/layout.rs
@@ -47,6 +47,19 @@
         self.volumes.iter().position(|v| v.lun == lun)
     }
 
+    pub fn volume_named(&self, name: &str) -> Option<usize> {
+        self.volumes.iter().position(|v| v.name == name)
+    }
+
+    /// A volume is under this plan, by the module's number of it.
+    pub fn put_under(&mut self, volume: usize, plan: u32) {
+        self.volumes[volume].plan = plan;
+    }
+
+    pub fn volumes(&self) -> &[Volume] {
+        &self.volumes
+    }
+
     pub fn volume(&self, volume: usize) -> &Volume {
         &self.volumes[volume]
     }
--- a/crates/hostcore/src/lib.rs
+++ b/crates/hostcore/src/lib.rs
@@ -11,6 +11,7 @@
 mod nodes;
 mod orders;
 mod placed;
+mod plans;
 mod sharing;
 mod ticket;
 
@@ -21,5 +22,6 @@
 pub use nodes::{Age, ListEntry, Nodes, Start};
 pub use orders::{Ask, Keep, Orders, OrdersStatus, Reply};
 pub use placed::{Placed, PlacedSettings, Request, VolumeNames};
+pub use plans::{Move, PlanAsk, PlanReply, PlanStatus, Plans};
 pub use sharing::{LineName, Place, Sharing};
 pub use ticket::Ticket;
--- a/crates/hostcore/src/orders.rs
+++ b/crates/hostcore/src/orders.rs
@@ -25,6 +25,7 @@
     Explain { address: SocketAddr },
     Status,
     Members,
+    Plan(crate::PlanAsk),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -47,6 +48,7 @@
     Explain(Box<Explanation>),
     Status(Box<OrdersStatus>),
     Members(Box<crate::MembersStatus>),
+    Plan(crate::PlanReply),
     Refused(Refusal),
     /// It could not be kept, so it does not hold.
     NotKept {
@@ -79,6 +81,8 @@
     pub put: Vec<Override>,
     pub remove: Vec<OverrideId>,
     pub audits: Vec<Audit>,
+    /// Changes of plans by number, as they are written; what the trail begins with is number 0.
+    pub changes: Vec<(u64, Vec<u8>)>,
 }
 
 enum Pending {
@@ -131,7 +135,7 @@
                         let mine = self.me.map(|(slot, life)| Origin { slot, life, number });
                         record.origin = record.origin.or(mine);
                         let audit = Audit::set(&record, preview.forced_past.is_some());
-                        let keep = Keep { put: vec![record.clone()], remove: vec![], audits: vec![audit] };
+                        let keep = Keep { put: vec![record.clone()], audits: vec![audit], ..Keep::default() };
                         self.pending = Some((request, Pending::Put(Box::new((record, preview)))));
                         Next::Keep(request, keep)
                     }
@@ -142,7 +146,7 @@
                 Some(o) => {
                     let audits = vec![Audit::cleared(wall_us, o, &who)];
                     self.pending = Some((request, Pending::Clear(id, who)));
-                    Next::Keep(request, Keep { put: vec![], remove: vec![id], audits })
+                    Next::Keep(request, Keep { remove: vec![id], audits, ..Keep::default() })
                 }
             },
             Ask::List => {
@@ -155,6 +159,11 @@
             }
             Ask::Status => Next::Reply(request, Reply::Status(Box::default())),
             Ask::Members => Next::Reply(request, Reply::Members(Box::default())),
+            // Not an order: the host's plans answer it.
+            Ask::Plan(_) => Next::Reply(
+                request,
+                Reply::NotKept { why: "this host has no plans block in its settings".into() },
+            ),
         })
     }
 
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -14,6 +14,8 @@
 const META: TableDefinition<&str, u64> = TableDefinition::new("tackmast");
 const OVERRIDES: TableDefinition<u64, &[u8]> = TableDefinition::new("overrides");
 const AUDIT: TableDefinition<u64, &[u8]> = TableDefinition::new("audit");
+/// Changes of plans by number, each as a line of the trail; what it begins with is number 0.
+const CHANGES: TableDefinition<u64, &[u8]> = TableDefinition::new("changes of plans");
 
 #[derive(Debug, thiserror::Error)]
 pub enum KeepError {
@@ -38,6 +40,8 @@
     pub overrides: Vec<Override>,
     /// Lowest number that no override ever had.
     pub next: u64,
+    /// The trail of changes of plans, as it was written.
+    pub trail: Vec<u8>,
 }
 
 impl Store {
@@ -111,7 +115,18 @@
                 .map_err(|e| format!("override {}: {e}", key.value()))?;
             overrides.push(o);
         }
-        Ok(Held { overrides, next: number("next override")?.unwrap_or(1) })
+        let mut trail = Vec::new();
+        // A store of before there were such changes has no table for them.
+        if let Ok(table) = r.open_table(CHANGES) {
+            for (n, row) in table.iter().map_err(|e| e.to_string())?.enumerate() {
+                let (key, value) = row.map_err(|e| e.to_string())?;
+                if key.value() != n as u64 {
+                    return Err(format!("change of plans {}: expected {n}", key.value()));
+                }
+                trail.extend_from_slice(value.value());
+            }
+        }
+        Ok(Held { overrides, next: number("next override")?.unwrap_or(1), trail })
     }
 
     /// Writes all of it or nothing; it is on the disk when this returns.
@@ -134,6 +149,12 @@
             for id in &k.remove {
                 overrides.remove(id.0)?;
             }
+            if !k.changes.is_empty() {
+                let mut changes = w.open_table(CHANGES)?;
+                for (number, line) in &k.changes {
+                    changes.insert(number, line.as_slice())?;
+                }
+            }
             let mut audit = w.open_table(AUDIT)?;
             let first = audit.last()?.map_or(0, |(n, _)| n.value() + 1);
             for (line, a) in (first..).zip(&k.audits) {
--- a/crates/keep/tests/crash.rs
+++ b/crates/keep/tests/crash.rs
@@ -77,11 +77,13 @@
 }
 
 fn put(id: u64) -> Keep {
-    Keep { put: vec![record(id)], remove: vec![], audits: vec![Audit::set(&record(id), false)] }
+    let changes = vec![(id - 1, vec![id as u8; 8])];
+    Keep { put: vec![record(id)], remove: vec![], audits: vec![Audit::set(&record(id), false)], changes }
 }
 
 fn clear(id: u64) -> Keep {
-    Keep { put: vec![], remove: vec![OverrideId(id)], audits: vec![Audit::cleared(0, &record(id), "bob")] }
+    let audits = vec![Audit::cleared(0, &record(id), "bob")];
+    Keep { remove: vec![OverrideId(id)], audits, ..Keep::default() }
 }
 
 fn ids(held: &[Override]) -> Vec<u64> {
@@ -133,6 +135,11 @@
                 stand[done]
             );
             assert!(store.audit(100).unwrap().len() >= done, "cut {cut}: the trail");
+            // Changes of plans are written with the rest: one for each record that was ever put.
+            let puts = |n: usize| keeps.iter().take(n).filter(|k| !k.put.is_empty()).count();
+            let changes = held.trail.len() / 8;
+            assert!(changes == puts(done) || changes == puts(done + 1), "cut {cut}: {changes} changes");
+            assert!(held.trail.chunks(8).zip(1u8..).all(|(c, id)| c == [id; 8]), "cut {cut}: their order");
             store.keep(&put(9)).unwrap();
             cuts += 1;
         }
--- a/crates/keep/tests/store.rs
+++ b/crates/keep/tests/store.rs
@@ -20,7 +20,12 @@
 }
 
 fn put(id: u64) -> Keep {
-    Keep { put: vec![record(id)], remove: vec![], audits: vec![Audit::set(&record(id), false)] }
+    Keep {
+        put: vec![record(id)],
+        remove: vec![],
+        audits: vec![Audit::set(&record(id), false)],
+        ..Keep::default()
+    }
 }
 
 #[test]
@@ -34,6 +39,7 @@
         put: vec![],
         remove: vec![OverrideId(5), OverrideId(2)],
         audits: vec![Audit::cleared(9, &record(2), "bob")],
+        ..Keep::default()
     };
     store.keep(&gone).unwrap();
     drop(store);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -132,6 +132,10 @@
             match o {
                 Output::Send { to, bytes } => self.post(h, to, &bytes),
                 Output::Mode(_) => {}
+                Output::Paper(p) => {
+                    let ends = m.papers.ends(p.number, at(self.now));
+                    m.paper_taken(at(self.now), p.number, p.number, p.text, ends);
+                }
                 Output::Do(Do::Hold { name, .. }) => {
                     self.returned += u64::from(self.over.contains(&name.number));
                     self.held.entry(h).or_default().insert(name.number);
--- a/crates/membership/src/loans.rs
+++ b/crates/membership/src/loans.rs
@@ -224,6 +224,13 @@
         self.displaced = true;
     }
 
+    /// The volume has another limit, 0 for none. Parts that are lent are shares of whatever holds.
+    pub fn limit_changed(&mut self, volume: u32, limit: f64) {
+        if let Some(p) = self.pools.get_mut(&volume) {
+            p.shared.limit = if limit > 0.0 { limit } else { f64::INFINITY };
+        }
+    }
+
     /// A client has asked for so many units of a volume.
     pub fn asked(&mut self, now: Instant, volume: u32, units: f64) {
         let Some(p) = self.pools.get_mut(&volume) else { return };
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -1,6 +1,7 @@
 //! One host among others: datagrams and the time in, datagrams and what follows from them out.
 
 use crate::loans::{LoanSettings, Loans, Moved, Say, Shared};
+use crate::papers::{Paper, Papers, TOLD};
 use crate::spread::{Do, Spread};
 use crate::view::{Seen, View, ViewSettings};
 use bytes::Bytes;
@@ -45,6 +46,8 @@
     /// A change of a host's health, for the log.
     Mode(String),
     Do(Do),
+    /// A change of plans came from another host.
+    Paper(Paper),
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -68,6 +71,7 @@
     pub view: View,
     pub loans: Loans,
     pub spread: Spread,
+    pub papers: Papers,
     outputs: VecDeque<Output>,
     from_order: usize,
     pub counters: Counters,
@@ -84,6 +88,7 @@
             view: View::new(now, me, s.seeds, s.view, s.seed),
             loans: Loans::new(now, (s.slot, s.life), s.loans, s.shared, s.left),
             spread: Spread::default(),
+            papers: Papers::default(),
             outputs: VecDeque::new(),
             from_order: 0,
             counters: Counters::default(),
@@ -171,6 +176,10 @@
                 orders.into_iter().for_each(|o| self.spread.learn(now, o));
                 return self.settle();
             }
+            paper @ (Body::Paper { .. } | Body::PaperWant { .. } | Body::PaperPiece { .. }) => {
+                self.papers.heard(now, from, d.slot, &paper);
+                return self.settle();
+            }
             other => {
                 self.view.heard(from, d.slot, &other);
                 return self.settle();
@@ -245,6 +254,16 @@
         while let Some(d) = self.spread.next_do() {
             self.outputs.push_back(Output::Do(d));
         }
+        while let Some((to, body)) = self.papers.next_say() {
+            self.push(to, body, Vec::new());
+        }
+        while let Some(p) = self.papers.next_came() {
+            self.outputs.push_back(Output::Paper(p));
+        }
+        if let Some((slot, number)) = self.papers.next_fork() {
+            let line = format!("host {slot} goes by other plans: another change {number} than here");
+            self.outputs.push_back(Output::Mode(line));
+        }
     }
 
     pub fn tick(&mut self, now: Instant) {
@@ -262,8 +281,12 @@
             ));
         }
         for (to, body) in sends {
+            let beat = matches!(body, Body::Digest { .. }) && self.papers.is_on();
             let news = self.view.beside();
             self.push(to, body, news);
+            if beat {
+                self.push(to, self.papers.word(now), Vec::new());
+            }
         }
         self.loans.tick(now, &self.view.live());
         self.spread.tick(now);
@@ -304,6 +327,18 @@
         self.spread.mine(now, order);
     }
 
+    /// A change of plans is taken here, and told on.
+    pub fn paper_taken(&mut self, now: Instant, number: u64, mark: u64, text: Bytes, ends: Instant) {
+        self.papers.taken(now, number, mark, text, ends);
+        let word = self.papers.word(now);
+        for slot in self.view.pick(TOLD, None) {
+            if let Some(to) = self.view.address(slot) {
+                self.push(to, word.clone(), Vec::new());
+            }
+        }
+        self.settle();
+    }
+
     pub fn cleared(&mut self, name: Name) {
         self.spread.cleared(name);
     }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -292,7 +292,7 @@
     }
 
     /// Some of those that are there, by chance.
-    fn pick(&mut self, n: usize, but: Option<u32>) -> Vec<u32> {
+    pub(crate) fn pick(&mut self, n: usize, but: Option<u32>) -> Vec<u32> {
         let mut all: Vec<u32> = self.live().into_iter().filter(|s| Some(*s) != but).collect();
         let n = n.min(all.len());
         for i in 0..n {
--- a/crates/plans/src/catalogue.rs
+++ b/crates/plans/src/catalogue.rs
@@ -291,6 +291,28 @@
         Ok(())
     }
 
+    /// Whether hosts can go over to `to` while they run: plans, and the plan that a volume is under. Where data lies, which
+    /// hosts a volume comes through and what its streams are is told at a host's start: parts of limits and the places of
+    /// bytes hang on it.
+    pub fn moves_live(&self, to: &Catalogue) -> Result<(), Refusal> {
+        let expected = "what stands: hosts that run take up plans, and which plan a volume is under";
+        for (name, now) in &self.volumes {
+            let Some(next) = to.volumes.get(name) else {
+                return Err(wrong(format!("volume {name}"), "taken away", expected));
+            };
+            if *now != (Volume { plan: now.plan.clone(), ..next.clone() }) {
+                return Err(wrong(format!("volume {name}"), "moved in more than its plan", expected));
+            }
+        }
+        if let Some(name) = to.volumes.keys().find(|n| !self.volumes.contains_key(*n)) {
+            return Err(wrong(format!("volume {name}"), "added", expected));
+        }
+        if self.streams != to.streams {
+            return Err(wrong("streams".into(), "moved", expected));
+        }
+        Ok(())
+    }
+
     /// What is other in `to`, line by line.
     pub fn diff(&self, to: &Catalogue) -> Vec<String> {
         fn lines<T: PartialEq + Serialize>(
--- a/crates/plans/src/lib.rs
+++ b/crates/plans/src/lib.rs
@@ -1,6 +1,5 @@
 //! Plans, volumes and stream types as data. `catalogue` holds a version of them and judges a change as a whole before
 //! anything moves; `trail` keeps who changed what, when and why, each entry chained to the one before. No I/O, no clock.
-//! Not part of a host yet: docs/ROADMAP.md tells what is open.
 
 mod catalogue;
 mod trail;
--- a/crates/plans/src/trail.rs
+++ b/crates/plans/src/trail.rs
@@ -55,11 +55,42 @@
     fn digest_of(&self) -> String {
         let bare = Entry { digest: String::new(), ..self.clone() };
         let text = serde_json::to_vec(&bare).unwrap_or_default();
-        Sha256::digest(&text).iter().map(|b| format!("{b:02x}")).collect()
+        hex(&Sha256::digest(&text))
     }
 }
 
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
 impl Trail {
+    /// One that begins with what the settings say. Its anchor's digest is of that, so that hosts whose settings differ do not
+    /// take each other's entries.
+    pub fn starting(catalogue: Catalogue) -> Self {
+        let digest = hex(&Sha256::digest(serde_json::to_vec(&catalogue).unwrap_or_default()));
+        let anchor = Anchor { number: 0, digest, catalogue: catalogue.clone() };
+        Trail { anchor, entries: Vec::new(), catalogue }
+    }
+
+    /// Number and digest of the newest entry.
+    pub fn newest(&self) -> (u64, &str) {
+        self.last()
+    }
+
+    /// Takes the line of an entry that another host has kept, if it is the next one here.
+    pub fn take(&mut self, line: &[u8], fleet: &Fleet) -> Result<(), TrailError> {
+        let number = self.last().0 + 1;
+        let wrong = |problem: String| TrailError::Line { line: number as usize, problem };
+        if line.len() > LINE {
+            return Err(wrong(format!("{} bytes", line.len())));
+        }
+        let entry: Entry = serde_json::from_slice(line).map_err(|e| wrong(e.to_string()))?;
+        if Trail::line(&entry) != line {
+            return Err(wrong("bytes that were not written so".into()));
+        }
+        self.follow(entry, fleet)
+    }
+
     fn last(&self) -> (u64, &str) {
         self.entries.last().map_or((self.anchor.number, &self.anchor.digest), |e| (e.number, &e.digest))
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -16,6 +16,8 @@
 pub const MOST_NAME: usize = 32;
 pub const MOST_TARGET: usize = 64;
 pub const MOST_TEXT: usize = 200;
+/// Bytes of one piece of a change of plans, at most.
+pub const MOST_PIECE: usize = 1200;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Health {
@@ -116,6 +118,24 @@
         volume: u32,
     },
     Orders(Vec<SpreadOrder>),
+    /// The newest change of plans that the sender goes by: its number, a mark of all up to it, and the time until all have to
+    /// go by it.
+    Paper {
+        number: u64,
+        mark: u64,
+        left_ms: u32,
+    },
+    /// Asks for a piece of a change.
+    PaperWant {
+        number: u64,
+        piece: u16,
+    },
+    PaperPiece {
+        number: u64,
+        piece: u16,
+        pieces: u16,
+        bytes: Bytes,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -247,6 +267,26 @@
                 out.put_u8(orders.len().min(MOST_ORDERS) as u8);
                 orders.iter().take(MOST_ORDERS).for_each(|o| put_order(&mut out, o));
             }
+            Body::Paper { number, mark, left_ms } => {
+                out.put_u8(13);
+                out.put_u64(*number);
+                out.put_u64(*mark);
+                out.put_u32(*left_ms);
+            }
+            Body::PaperWant { number, piece } => {
+                out.put_u8(14);
+                out.put_u64(*number);
+                out.put_u16(*piece);
+            }
+            Body::PaperPiece { number, piece, pieces, bytes } => {
+                out.put_u8(15);
+                out.put_u64(*number);
+                out.put_u16(*piece);
+                out.put_u16(*pieces);
+                let most = bytes.len().min(MOST_PIECE);
+                out.put_u16(most as u16);
+                out.put_slice(&bytes[..most]);
+            }
         }
         out.put_u8(self.news.len().min(MOST_NEWS) as u8);
         for n in self.news.iter().take(MOST_NEWS) {
@@ -311,7 +351,24 @@
                 }
                 Body::Orders((0..n).map(|_| order(&mut f)).collect::<Result<_, _>>()?)
             }
-            other => return Err(wrong("kind", other, "a kind from 1 to 12")),
+            13 => {
+                Body::Paper { number: f.u64("change")?, mark: f.u64("mark")?, left_ms: f.u32("time left")? }
+            }
+            14 => Body::PaperWant { number: f.u64("change")?, piece: f.u16("piece")? },
+            15 => {
+                let (number, piece, pieces) = (f.u64("change")?, f.u16("piece")?, f.u16("pieces")?);
+                let n = usize::from(f.u16("bytes")?);
+                if n > MOST_PIECE {
+                    let (found, most) = (n as u64, MOST_PIECE as u64);
+                    return Err(WireError::TooLong { field: "piece", found, most });
+                }
+                if piece >= pieces {
+                    let expected = "a number below that of pieces";
+                    return Err(WireError::Value { field: "piece", found: u64::from(piece), expected });
+                }
+                Body::PaperPiece { number, piece, pieces, bytes: f.bytes("piece", n)? }
+            }
+            other => return Err(wrong("kind", other, "a kind from 1 to 15")),
         };
         let n = f.u8("news")?;
         if usize::from(n) > MOST_NEWS {
@@ -426,8 +483,11 @@
             Body::Recall { volume: 17 },
             Body::Returned { to_life: 21, volume: 18 },
             Body::Orders(vec![order(&long), order("")]),
+            Body::Paper { number: 22, mark: 23, left_ms: 24 },
+            Body::PaperWant { number: 25, piece: 26 },
+            Body::PaperPiece { number: 27, piece: 28, pieces: 29, bytes: Bytes::from(vec![7; MOST_PIECE]) },
         ] {
-            let many = if matches!(body, Body::Orders(_)) { 0 } else { MOST_NEWS };
+            let many = if matches!(body, Body::Orders(_) | Body::PaperPiece { .. }) { 0 } else { MOST_NEWS };
             let d = Datagram { fleet: "f".repeat(MOST_NAME), slot: 1, life: 2, body, news: news(many) };
             let bytes = d.to_bytes();
             assert!(bytes.len() <= MOST, "{}: {d:?}", bytes.len());
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -168,6 +168,7 @@
         hosts: u32,
     ) {
         self.now = now;
+        self.volume_moved(now, volume, plan);
         let st = &self.streams[stream.0 as usize];
         let (p, told) = (&self.plans[plan.0 as usize], f64::from(hosts.max(1)));
         // A new life of a host can't know what an earlier one drew: its limit bucket starts full, but for
@@ -179,10 +180,6 @@
         }
         let v = self.volumes.entry(volume).or_insert_with(|| Volume::new(now, plan, told, full));
         (v.hosts, v.seen) = (v.hosts.max(told), now);
-        if v.plan != plan {
-            let old = std::mem::replace(&mut v.plan, plan);
-            Self::refigure(v, now, &self.plans[old.0 as usize], p);
-        }
         // A client's later try began its SLO time with its first: it asks for the same as one answered
         // undone, with less time left. Little time left alone proves nothing: some clients are in a hurry.
         let ask = (volume, stream, key, shard, units.to_bits());
@@ -298,6 +295,17 @@
         }
     }
 
+    /// A volume is under this plan from now on, with all that waits of it.
+    pub fn volume_moved(&mut self, now: Instant, volume: VolumeId, plan: PlanId) {
+        self.now = now;
+        let Some(v) = self.volumes.get_mut(&volume).filter(|v| v.plan != plan) else { return };
+        let old = std::mem::replace(&mut v.plan, plan);
+        Self::refigure(v, now, &self.plans[old.0 as usize], &self.plans[plan.0 as usize]);
+        let of_it = self.xfers.values_mut().filter(|x| x.volume == volume);
+        of_it.for_each(|x| x.plan = plan);
+        self.due.extend(self.shards.keys());
+    }
+
     /// How many hosts are thought to be there. Caps follow it, whose sum no rule bounds; the guards keep to
     /// the told number, whatever is thought.
     pub fn hosts_there(&mut self, there: u32) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{secs, sent, Desk};
-use tackmast::interface::{Decision, Effect, Group, ListKind, NodeState, Outcome, Plan, PlanId};
+use tackmast::interface::{Decision, Effect, Group, ListKind, NodeState, Outcome, Plan, PlanId, VolumeId};
 
 fn keyed(window: f64) -> Effect {
     Effect::Keyed { group: Group::Shard, window: secs(window) }
@@ -377,6 +377,7 @@
 fn a_volume_that_comes_under_a_limit_starts_with_nothing_saved_and_nothing_owed() {
     // What it drew while it had no limit; whether its plan gets one, or it moves to a plan that has one.
     for (drawn, moves) in [(0, false), (50, false), (50, true)] {
+        // What waits when a volume moves goes by the new plan as well.
         let mut d = Desk::new(2, Effect::Repeatable, false);
         d.ready(1);
         for i in 0..drawn {
@@ -391,6 +392,16 @@
             d.s.plan_changed(d.at(), PlanId(3), limited);
         }
         let (start, mut units) = (d.now, 0.0);
+        if moves {
+            (0..20).for_each(|i| _ = d.take(0, 3, 0, 2.0, 0, 500 + i));
+            d.s.volume_moved(d.at(), VolumeId(0), PlanId(0));
+            let end = d.now + 0.001;
+            assert_eq!(
+                d.until(end).iter().filter_map(|(_, x)| sent(x)).count(),
+                0,
+                "what waits has moved too"
+            );
+        }
         for i in 0..100 {
             d.take(0, plan, 0, 2.0, 0, 1000 + i);
             let end = d.now + 0.05;
