--- a/crates/hostcore/src/fellows.rs
+++ b/crates/hostcore/src/fellows.rs
@@ -131,8 +131,8 @@
 
     /// This host goes by plans that change, and has these changes.
     pub fn begin_papers(&mut self, plans: &crate::Plans) {
-        let (newest, texts) = plans.papers();
-        self.member.papers.begin(newest, texts.into_iter().map(|(n, t)| (n, Bytes::from(t))));
+        let texts = plans.texts().map(|(n, t)| (n, Bytes::from(t)));
+        self.member.papers.begin(plans.newest_mark(), texts);
     }
 
     pub fn is_own(request: u64) -> bool {
--- a/crates/hostcore/src/plans.rs
+++ b/crates/hostcore/src/plans.rs
@@ -178,11 +178,15 @@
         })
     }
 
-    /// What this host has, for others that ask: number and mark of the newest, and each text.
-    pub fn papers(&self) -> ((u64, u64), Vec<(u64, Vec<u8>)>) {
+    /// Number and mark of the newest change.
+    pub fn newest_mark(&self) -> (u64, u64) {
         let (number, digest) = self.trail.newest();
-        let texts = self.trail.entries.iter().map(|e| (e.number, Trail::line(e)));
-        ((number, mark(digest)), texts.collect())
+        (number, mark(digest))
+    }
+
+    /// Each change as a text, for others that ask.
+    pub fn texts(&self) -> impl Iterator<Item = (u64, Vec<u8>)> + '_ {
+        self.trail.entries.iter().map(|e| (e.number, Trail::line(e)))
     }
 
     /// What an earlier life had taken, on top of the settings.
