A change of plans of many pieces arrives where datagrams get lost; spread measured

Cause: tackmast lab fleet, with its new columns, never saw a change of 100,000 bytes at all hosts where one datagram in twenty is lost: Papers::ask began a text anew with each other host that was heard, and a lost piece was asked for again only then. Change: a text that was begun goes on with whoever is heard; a piece that does not come within 0.1 s is asked for again, 20 times. The laboratory's fleet has the times until all go by a change, small, large, and after a cut of 30 s, and a test of them with loss.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -219,7 +219,7 @@
             }
             println!("models in virtual time; periods of 0.5 s; seconds, but for bytes and suspicions");
             println!(
-                "{:>6} {:>6} {:>10} {:>8} {:>12} {:>12} {:>11} {:>9} {:>8} {:>11} {:>11} {:>12} {:>9} {:>11} {:>11}",
+                "{:>6} {:>6} {:>10} {:>8} {:>12} {:>12} {:>11} {:>9} {:>8} {:>11} {:>11} {:>12} {:>9} {:>11} {:>11} {:>8} {:>10} {:>9}",
                 "hosts",
                 "loss",
                 "all known",
@@ -234,16 +234,20 @@
                 "orders meet",
                 "returned",
                 "after flaps",
-                "flap deaths"
+                "flap deaths",
+                "plan",
+                "large plan",
+                "after cut"
             );
             let s = |x: Option<f64>| x.map_or("never".to_owned(), |x| format!("{x:.2}"));
             for (hosts, loss) in hosts.iter().flat_map(|h| loss.iter().map(move |l| (*h, *l))) {
                 let f = tackmast_lab::fleet(hosts, loss, seed);
                 println!(
-                    "{hosts:>6} {loss:>6.2} {:>10} {:>8.0} {:>12.2} {:>12} {:>11} {:>9} {:>8} {:>11} {:>11} {:>12} {:>9} {:>11} {:>11}",
+                    "{hosts:>6} {loss:>6.2} {:>10} {:>8.0} {:>12.2} {:>12} {:>11} {:>9} {:>8} {:>11} {:>11} {:>12} {:>9} {:>11} {:>11} {:>8} {:>10} {:>9}",
                     s(f.all_known_s), f.bytes_a_second, f.false_suspicions, f.false_deaths, s(f.first_known_s),
                     s(f.all_dead_s), s(f.back_s),
-                    s(f.stale_seeds_s), s(f.views_meet_s), s(f.orders_meet_s), f.returned, s(f.after_flaps_s), f.flap_deaths);
+                    s(f.stale_seeds_s), s(f.views_meet_s), s(f.orders_meet_s), f.returned, s(f.after_flaps_s), f.flap_deaths,
+                    s(f.plan_s), s(f.large_plan_s), s(f.plan_after_cut_s));
             }
             Ok(ExitCode::SUCCESS)
         }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -43,6 +43,10 @@
     pub flap_deaths: u64,
     /// Orders that were cleared or had ended and came back: none may.
     pub returned: u64,
+    /// Seconds until all go by a change of plans: of 500 bytes, of 100,000, and of 500 after a cut of 30 s is healed.
+    pub plan_s: Option<f64>,
+    pub large_plan_s: Option<f64>,
+    pub plan_after_cut_s: Option<f64>,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -186,6 +190,27 @@
         self.members.values().map(of).fold((0, 0, 0), |a, b| (a.0 + b.0, a.1 + b.1, a.2 + b.2))
     }
 
+    fn all_go_by(&self, number: u64) -> bool {
+        self.members.values().all(|m| m.papers.at().0 >= number)
+    }
+
+    /// The first host takes a change of plans.
+    fn plan(&mut self, number: u64, bytes: usize) -> Option<f64> {
+        self.plan_until(number, bytes, None)
+    }
+
+    /// The same, for so long at most.
+    fn plan_until(&mut self, number: u64, bytes: usize, most: Option<Us>) -> Option<f64> {
+        let (now, start) = (at(self.now), self.now);
+        if let Some(m) = self.members.get_mut(&0) {
+            m.paper_taken(now, number, number, Bytes::from(vec![0; bytes]), now + Span::from_secs(5.0));
+        }
+        self.pull(0);
+        let Some(most) = most else { return self.until(|f| f.all_go_by(number)) };
+        self.run_until(start + most);
+        self.all_go_by(number).then_some(most as f64 / 1e6)
+    }
+
     fn order(&mut self, h: u32, number: u64, seconds: f64) {
         let left_ms = (seconds * 1e3) as u64;
         let (reason, who) = ("drawn".into(), "lab".into());
@@ -295,5 +320,12 @@
     }
     x.after_flaps_s = f.until(Fleet::all_know_all);
     x.flap_deaths = f.sums().2 - before;
+    f.members.values_mut().for_each(|m| m.papers.begin((0, 0), []));
+    x.plan_s = f.plan(1, 500);
+    x.large_plan_s = f.plan(2, 100_000);
+    f.cut = Some(hosts / 2);
+    let cut = f.plan_until(3, 500, Some(30 * SECOND));
+    f.cut = None;
+    x.plan_after_cut_s = if cut.is_none() { f.until(|f| f.all_go_by(3)) } else { cut };
     x
 }
--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -13,6 +13,9 @@
         assert!(f.stale_seeds_s.is_some_and(|s| s < 60.0), "{f:?}");
         assert!(f.orders_meet_s.is_some_and(|s| s < 20.0), "{f:?}");
         assert!(f.after_flaps_s.is_some_and(|s| s < 20.0), "{f:?}");
+        for s in [f.plan_s, f.large_plan_s, f.plan_after_cut_s] {
+            assert!(s.is_some_and(|s| s < 15.0), "{f:?}");
+        }
         assert_eq!((f.false_deaths, f.returned), (0, 0), "{f:?}");
     }
 }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -290,11 +290,13 @@
         }
         self.loans.tick(now, &self.view.live());
         self.spread.tick(now);
+        self.papers.tick(now);
         self.settle();
     }
 
     pub fn next_wake(&self) -> Instant {
-        self.view.next_wake().min(self.loans.next_wake())
+        let papers = self.papers.next_wake();
+        [self.loans.next_wake()].into_iter().chain(papers).fold(self.view.next_wake(), Instant::min)
     }
 
     pub fn next_output(&mut self) -> Option<Output> {
--- a/crates/membership/src/papers.rs
+++ b/crates/membership/src/papers.rs
@@ -16,8 +16,10 @@
 pub const TOLD: usize = 3;
 /// Hosts whose word is remembered, at most.
 const MOST_HOSTS: usize = 100_000;
-/// A piece that was asked for and has not come within this is asked for again, of whoever is heard next.
-const AGAIN_S: f64 = 0.3;
+/// A piece that was asked for and has not come within this is asked for again, of whoever is heard next, or else of the same
+/// host, so many times.
+const AGAIN_S: f64 = 0.1;
+const TRIES: u32 = 20;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Paper {
@@ -32,6 +34,7 @@
     got: BytesMut,
     next: u16,
     asked: Instant,
+    tries: u32,
 }
 
 /// What one host has of them.
@@ -161,13 +164,36 @@
         }
     }
 
-    /// Asks for the next text, from its first piece on; one that was begun elsewhere is begun anew.
+    /// Asks for the next text. One that was begun goes on, also with another host: a text is the same at all that have it,
+    /// and one that takes many pieces would else never be whole where datagrams get lost.
     fn ask(&mut self, now: Instant, from: SocketAddr) {
         let number = self.newest.0 + 1;
-        let again = self.fetch.take().filter(|f| f.from == from && f.number == number);
-        let f = again.unwrap_or(Fetch { from, number, pieces: 0, got: BytesMut::new(), next: 0, asked: now });
+        let again = self.fetch.take().filter(|f| f.number == number);
+        let f = again.unwrap_or(Fetch {
+            from,
+            number,
+            pieces: 0,
+            got: BytesMut::new(),
+            next: 0,
+            asked: now,
+            tries: 0,
+        });
         self.says.push_back((from, Body::PaperWant { number, piece: f.next }));
-        self.fetch = Some(Fetch { asked: now, ..f });
+        self.fetch = Some(Fetch { asked: now, from, tries: 0, ..f });
+    }
+
+    pub fn next_wake(&self) -> Option<Instant> {
+        let f = self.fetch.as_ref().filter(|f| f.tries < TRIES)?;
+        Some(f.asked + Span::from_secs(AGAIN_S))
+    }
+
+    /// Against a word that got lost on its way: a large text is many of them.
+    pub fn tick(&mut self, now: Instant) {
+        let due = self.next_wake().is_some_and(|t| t <= now);
+        if let Some(f) = self.fetch.as_mut().filter(|_| due) {
+            (f.asked, f.tries) = (now, f.tries + 1);
+            self.says.push_back((f.from, Body::PaperWant { number: f.number, piece: f.next }));
+        }
     }
 
     fn piece(&mut self, now: Instant, from: SocketAddr, number: u64, piece: u16, pieces: u16, bytes: &Bytes) {
@@ -180,7 +206,7 @@
             return self.refused();
         }
         f.got.extend_from_slice(bytes);
-        (f.pieces, f.next, f.asked) = (pieces, piece + 1, now);
+        (f.pieces, f.next, f.asked, f.tries) = (pieces, piece + 1, now, 0);
         if f.next < pieces {
             return self.says.push_back((from, Body::PaperWant { number, piece: f.next }));
         }
