A planner: r-b curves of recorded loads, the paper's bound and linear program, placements

Need: operators want to know before a change whether reservations and limits fit, and which SLO times are at risk; the paper's idea at placement time is what the running host leaves out. Change: crates/planner has r-b curves (paper 2.2), equation 1 with what a node adds here (its own work, the way, looser units ahead), the linear program of equations 3 and 4 on microlp, and first-fit that solves nothing where a point of the new curve holds beside the others, and passes over a node after eight programs without solution. tackmast plan check and suggest; tackmast lab bound holds the bound beside what a load then takes.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -40,6 +40,20 @@
         #[arg(long)]
         calm: bool,
     },
+    /// Holds the planner's bound beside what a load then takes here, for each file.
+    Bound {
+        #[arg(required = true)]
+        loads: Vec<std::path::PathBuf>,
+        #[arg(long, default_value_t = 4)]
+        hosts: u32,
+        #[arg(long, default_value_t = 4)]
+        nodes: u32,
+        #[arg(long, default_value_t = 5)]
+        seed: u64,
+        /// Units of looser stream types out at a node when a tighter one comes.
+        #[arg(long, default_value_t = 16.0)]
+        ahead: f64,
+    },
     /// Plays a load from a file once here and once through real hosts and stand-in nodes on loopback, side by side.
     Truth {
         file: std::path::PathBuf,
@@ -212,6 +226,12 @@
                 None => hunt.rules(),
             }
         }
+        LabCommand::Bound { loads, hosts, nodes, seed, ahead } => {
+            if !(1..=300).contains(&hosts) || !(1..=300).contains(&nodes) {
+                return Err(format!("--hosts {hosts} --nodes {nodes}; expected 1 to 300"));
+            }
+            crate::planner::beside_lab(&loads, hosts, nodes, seed, ahead)
+        }
         LabCommand::Fleet { hosts, loss, seed } => {
             if hosts.iter().any(|h| !(3..=1000).contains(h)) || loss.iter().any(|l| !(0.0..=0.9).contains(l))
             {
@@ -272,7 +292,7 @@
     change: Change,
 }
 
-fn load(path: &std::path::Path) -> Result<tackmast_load::Load, String> {
+pub fn load(path: &std::path::Path) -> Result<tackmast_load::Load, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     tackmast_load::Load::parse(&path.display().to_string(), &text).map_err(|e| e.to_string())
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod log;
 mod measure;
 mod orders;
+mod planner;
 mod plans;
 mod platform;
 mod serve;
--- a/crates/cli/src/plans.rs
+++ b/crates/cli/src/plans.rs
@@ -74,6 +74,16 @@
         #[command(flatten)]
         home: Home,
     },
+    /// Tells whether the SLO times of a recorded load can hold where its data lies, and which are at risk, by the paper's
+    /// bound. Nothing is asked of any host.
+    Check(crate::planner::Figures),
+    /// Proposes limits and bursts for a recorded load, and a placement on so many nodes.
+    Suggest {
+        #[command(flatten)]
+        figures: crate::planner::Figures,
+        #[arg(long)]
+        nodes: usize,
+    },
     /// Shows who changed what, when and why.
     Log {
         /// Proves each entry against the one before, and that they lead to the plans that hold.
@@ -127,6 +137,8 @@
             let By { who, why, dry_run } = by;
             told(ask(&home.host, PlanAsk::Undo { number, who, why, dry_run })?, home.json)
         }
+        PlanCommand::Check(figures) => crate::planner::check(&figures),
+        PlanCommand::Suggest { figures, nodes } => crate::planner::suggest(&figures, nodes),
         PlanCommand::Log { verify, from, host, json } => {
             let reply = match (from, host) {
                 (Some(file), _) => read_log(&file)?,
--- /dev/null
+++ b/crates/planner/examples/fleet.rs
@@ -0,0 +1,56 @@
+//! Places 2,000 drawn loads on 60 nodes, by the linear program and by the mean rate, and tells times and what holds.
+
+use std::time::Instant;
+use tackmast_planner::*;
+
+fn main() {
+    let node = Node { capacity: 4000.0, unit_s: 0.002, ahead: 24.0, way_s: 0.002 };
+    let mut c = oorandom::Rand64::new(1);
+    let loads: Vec<Load> = (0..2000)
+        .map(|i| {
+            let (rate, surge) = (0.5 + 4.0 * c.rand_float(), 1.0 + 6.0 * c.rand_float());
+            let (mut t, mut a) = (0.0, Vec::new());
+            loop {
+                let on = (t / 6.0 + c.rand_float() * 0.01 + f64::from(i) * 0.37) % 1.0 < 0.15;
+                t += -(1.0 - c.rand_float()).ln() / (rate * if on { surge } else { 1.0 });
+                if t >= 60.0 {
+                    break;
+                }
+                a.push((t, 1.0 + c.rand_range(0..8) as f64));
+            }
+            let slo_s = [0.1, 0.25, 0.8][i as usize % 3];
+            let curve = Curve::of(&a, 60.0, node.capacity / 4.0);
+            Load { name: format!("volume {i}"), slo_s, largest: 8.0, curve }
+        })
+        .collect();
+    let means: f64 = loads.iter().filter_map(|l| l.curve.least()).map(|p| p.rate).sum();
+    println!(
+        "2000 loads on 60 nodes; their mean rates are {:.2} of the capacity",
+        means / 60.0 / node.capacity
+    );
+    let started = Instant::now();
+    let p = place(&node, 60, &loads);
+    println!(
+        "linear program: {:.2} s, {} nodes used, {} loads left, {} programs solved, {} placed without",
+        started.elapsed().as_secs_f64(),
+        p.used(),
+        p.left.len(),
+        p.solved,
+        p.at_once
+    );
+    for times in [1.0, 1.5, 2.0] {
+        let started = Instant::now();
+        let p = by_mean_rate(&node, 60, &loads, times);
+        let holds = |there: &&Vec<(usize, Point)>| {
+            let all: Vec<&Load> = there.iter().map(|(l, _)| &loads[*l]).collect();
+            fit(&node, &all).is_some()
+        };
+        let taken = started.elapsed().as_secs_f64();
+        println!(
+            "{times} of the mean: {taken:.3} s, {} nodes used, {} loads left; SLO times hold by the bound at {} of them",
+            p.used(),
+            p.left.len(),
+            p.nodes.iter().filter(|n| !n.is_empty()).filter(holds).count()
+        );
+    }
+}
--- /dev/null
+++ b/crates/planner/tests/planner.rs
@@ -0,0 +1,124 @@
+//! Curves against a search of all windows, bounds against a queue that is played, and placements.
+
+use tackmast_planner::*;
+
+const NODE: Node = Node { capacity: 200.0, unit_s: 0.005, ahead: 0.0, way_s: 0.0 };
+
+/// Arrivals that come in surges: seconds and units.
+fn arrivals(seed: u64, rate: f64, surge: f64, seconds: f64) -> Vec<(f64, f64)> {
+    let mut c = oorandom::Rand64::new(u128::from(seed));
+    let (mut t, mut all) = (0.0, Vec::new());
+    loop {
+        let times = if (t / 2.0 + seed as f64) % 5.0 < 0.5 { surge } else { 1.0 };
+        t += -(1.0 - c.rand_float()).ln() / (rate * times);
+        if t >= seconds {
+            return all;
+        }
+        all.push((t, 1.0 + c.rand_range(0..4) as f64));
+    }
+}
+
+fn load(seed: u64, rate: f64, surge: f64, slo_s: f64) -> (Load, Vec<(f64, f64)>) {
+    let a = arrivals(seed, rate, surge, 60.0);
+    let curve = Curve::of(&a, 60.0, NODE.capacity);
+    (Load { name: format!("load {seed}"), slo_s, largest: 4.0, curve }, a)
+}
+
+#[test]
+fn a_curve_is_the_least_burst_of_all_windows_and_convex() {
+    let (l, a) = load(3, 10.0, 6.0, 1.0);
+    for p in &l.curve.points {
+        let mut most = 0.0f64;
+        for i in 0..a.len() {
+            let mut sum = 0.0;
+            for (t, units) in &a[i..] {
+                sum += units;
+                most = most.max(sum - p.rate * (t - a[i].0));
+            }
+        }
+        assert!((most - p.burst).abs() < 1e-6, "{p:?}: {most} by all windows");
+    }
+    for (slope, at_zero) in l.curve.lines() {
+        let under = l.curve.points.iter().all(|p| p.burst >= slope * p.rate + at_zero - 1e-6);
+        assert!(under && slope <= 0.0, "slope {slope}");
+    }
+    let (first, last) = (l.curve.least().unwrap(), l.curve.last().unwrap());
+    assert_eq!(l.curve.burst(first.rate * 0.9), None);
+    assert_eq!(l.curve.burst(last.rate * 9.0), Some(last.burst));
+}
+
+#[test]
+fn what_fits_holds_when_it_is_played() {
+    // A queue with priorities by SLO time that serves one at a time: the paper's server. How many loads, and their pace.
+    let mut held = 0;
+    let sets = [
+        (3, 4.0, 2.0),
+        (6, 2.0, 2.0),
+        (10, 1.0, 2.0),
+        (8, 1.0, 3.0),
+        (4, 3.0, 1.0),
+        (2, 8.0, 2.0),
+        (12, 5.0, 8.0),
+    ];
+    for (n, rate, surge) in sets {
+        let both: Vec<_> = (0..n).map(|i| load(i, rate, surge, [0.4, 1.0, 2.5][i as usize % 3])).collect();
+        let loads: Vec<&Load> = both.iter().map(|b| &b.0).collect();
+        let Some(points) = fit(&NODE, &loads) else { continue };
+        held += 1;
+        for (b, l) in bounds(&NODE, &loads, &points).iter().zip(&loads) {
+            assert!(*b <= l.slo_s + 1e-6, "{b} of {}", l.slo_s);
+        }
+        for (p, l) in points.iter().zip(&loads) {
+            assert!(p.burst >= l.curve.burst(p.rate).unwrap() - 1e-6, "{p:?} is under its curve");
+        }
+        let mut all: Vec<(f64, f64, usize)> =
+            both.iter().enumerate().flat_map(|(i, b)| b.1.iter().map(move |(t, u)| (*t, *u, i))).collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut now, mut next, mut waiting) = (0.0f64, 0, Vec::<(f64, f64, usize)>::new());
+        while next < all.len() || !waiting.is_empty() {
+            if waiting.is_empty() {
+                now = now.max(all[next].0);
+            }
+            while next < all.len() && all[next].0 <= now {
+                waiting.push(all[next]);
+                next += 1;
+            }
+            let key = |w: &(f64, f64, usize)| (loads[w.2].slo_s, w.0);
+            let best =
+                (0..waiting.len()).min_by(|a, b| key(&waiting[*a]).partial_cmp(&key(&waiting[*b])).unwrap());
+            let (t, units, i) = waiting.swap_remove(best.unwrap());
+            now += units / NODE.capacity;
+            // One that was begun before a tighter one came ends first: the largest transfer of another.
+            let most = loads[i].slo_s + 4.0 / NODE.capacity;
+            assert!(now - t <= most, "{n} loads of {rate}: {} took {} of {most}", loads[i].name, now - t);
+        }
+    }
+    assert!(held >= 4 && held < sets.len(), "{held} sets of loads fit");
+}
+
+#[test]
+fn placements_hold_at_each_node_and_say_what_found_none() {
+    let loads: Vec<Load> = (0..40).map(|i| load(i, 3.0, 6.0, [0.5, 1.0, 2.0][i as usize % 3]).0).collect();
+    for nodes in [1, 4, 20] {
+        let p = place(&NODE, nodes, &loads);
+        let placed: usize = p.nodes.iter().map(Vec::len).sum();
+        assert_eq!(placed + p.left.len(), loads.len());
+        assert_eq!(p.left.is_empty(), nodes == 20, "{nodes} nodes: {} left", p.left.len());
+        for there in &p.nodes {
+            let all: Vec<&Load> = there.iter().map(|(l, _)| &loads[*l]).collect();
+            let points: Vec<Point> = there.iter().map(|(_, p)| *p).collect();
+            let held = bounds(&NODE, &all, &points).iter().zip(&all).all(|(b, l)| *b <= l.slo_s + 1e-6);
+            assert!(held, "{there:?}");
+        }
+    }
+    // By the mean alone more goes onto a node than its SLO times bear.
+    let plain = by_mean_rate(&NODE, 20, &loads, 1.5);
+    let fits = |there: &Vec<(usize, Point)>| {
+        let all: Vec<&Load> = there.iter().map(|(l, _)| &loads[*l]).collect();
+        fit(&NODE, &all).is_some()
+    };
+    assert!(
+        plain.left.is_empty() && plain.nodes.iter().any(|n| !fits(n)),
+        "some node of the plain way does not hold"
+    );
+}
