--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -40,6 +40,7 @@
     what_only_sockets_have = "sockets",
     overrides_that_end_through_restarts_and_surges = "overrides",
     hosts_that_lend_each_other_parts_of_a_limit = "members",
+    limits_that_move_under_load = "plans",
 }
 
 #[test]
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -13,7 +13,7 @@
 use tackmast::interface::{Effect, Group};
 use tackmast_admin::{Answer, Call};
 use tackmast_config::HostSettings;
-use tackmast_hostcore::{Ask, Reply};
+use tackmast_hostcore::{Ask, PlanAsk, PlanReply, Reply};
 use tackmast_overrides::{Kind, Order, Target};
 use tackmast_standins::initiator::{self, Initiator, Login};
 use tackmast_standins::list::{ListFault, NodeList};
@@ -236,6 +236,46 @@
         }
     }
 
+    /// Asks the host that takes changes to make a plan's figures so many times what the settings say. It counts from before
+    /// it was asked: a host may go by it sooner than the answer is here.
+    fn plan(&mut self, name: &str, limit_times: f64, burst_times: f64) {
+        let (s, from) = (&self.script.settings, now_us());
+        let Some((live, p)) = s.plans_live.as_ref().zip(s.plans.iter().find(|p| p.name == *name)) else {
+            return;
+        };
+        let to = tackmast_plans::Plan {
+            limit: p.limit * limit_times,
+            burst: p.burst * burst_times,
+            slack: p.slack,
+            reserve: p.reserve,
+            weight: p.weight,
+        };
+        let socket = admin_socket(&self.dir, live.home);
+        let ask =
+            |ask| match tackmast_admin::call(&socket, &Call::Ask(Ask::Plan(ask)), Duration::from_secs(5)) {
+                Ok(Answer::Reply(r)) => Ok(*r),
+                other => Err(format!("{other:?}")),
+            };
+        let base = match ask(PlanAsk::Show) {
+            Ok(Reply::Plan(PlanReply::Shown(status))) => status.catalogue.version,
+            other => return self.failures.push(format!("plans of host {}: {other:?}", live.home)),
+        };
+        let (limit, burst, slack) = (to.limit, to.burst, to.slack);
+        let steps = vec![tackmast_plans::Step::Plan { name: name.to_owned(), to: Some(to) }];
+        let (who, why) = ("the day".to_owned(), "its script".to_owned());
+        let change = tackmast_plans::Change { base, steps, who, why };
+        match ask(PlanAsk::Apply { change, dry_run: false }) {
+            Ok(Reply::Plan(PlanReply::Applied { .. })) => {
+                let in_force_us = now_us() + (live.settle_s * 1e6) as u64;
+                for v in s.volumes.iter().filter(|v| s.plans[v.plan as usize].name == *name) {
+                    let moved = Event::PlanMoved { volume: v.lun, limit, burst, slack, in_force_us };
+                    self.recorder.note_at(from, moved);
+                }
+            }
+            other => self.failures.push(format!("a change of plan {name}: {other:?}")),
+        }
+    }
+
     /// Orders whose end has come must not be visible any more; nodes they held may be used again.
     fn look_at_orders(&mut self) {
         let now = now_us();
@@ -302,6 +342,7 @@
                 }
             }
             Action::Ageing { .. } | Action::Pauses { .. } => {}
+            Action::Plan { name, limit_times, burst_times } => self.plan(name, *limit_times, *burst_times),
             Action::Order { hosts, kind, target, nodes, refused, force } => {
                 let named = self.nodes.named(nodes);
                 let address = |n: &String| self.nodes.node(n).map(|n| Target::Node(n.address()));
@@ -364,6 +405,7 @@
                 self.nodes_do(nodes, &Fault::Restart(*down_s));
             }
             Action::Pauses { .. } | Action::Move { .. } | Action::Client { .. } | Action::Order { .. } => {}
+            Action::Plan { name, .. } => self.plan(name, 1.0, 1.0),
             Action::List(ListFault::Late(_)) => self.list.set(&ListFault::Late(self.script.list_late_s)),
             Action::List(ListFault::Fails(_)) => self.list.set(&ListFault::Fails(false)),
             Action::List(ListFault::Silent(_)) => self.list.set(&ListFault::Silent(false)),
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -212,6 +212,9 @@
     refused: bool,
     #[serde(default)]
     force: bool,
+    plan: Option<String>,
+    limit_times: Option<f64>,
+    burst_times: Option<f64>,
 }
 
 /// What a trouble does at its time; most are undone at its end.
@@ -262,6 +265,13 @@
         refused: bool,
         force: bool,
     },
+    /// The host that takes changes is asked to make a plan's limit and burst so many times what the settings say, and to set
+    /// them back at the end.
+    Plan {
+        name: String,
+        limit_times: f64,
+        burst_times: f64,
+    },
     /// A client at each host that breaks the protocol.
     Client {
         hosts: Vec<u32>,
@@ -311,9 +321,10 @@
     tick_ms: Option<f64>,
 }
 
-const HOST_BLOCKS: [&str; 8] =
-    ["bounds", "units", "load", "further_legs", "cold_nodes", "stream", "plan", "volume"];
-const BLOCKS: [&str; 14] = [
+const HOST_BLOCKS: [&str; 9] =
+    ["bounds", "units", "load", "further_legs", "cold_nodes", "plans", "stream", "plan", "volume"];
+const BLOCKS: [&str; 15] = [
+    "plans",
     "bounds",
     "units",
     "load",
@@ -390,7 +401,9 @@
         let host_blocks = doc.only_text(&HOST_BLOCKS);
         let common = host_text(&host_blocks, &more, 0, &day, None, None);
         let before = common.lines().count() - host_blocks.lines().count();
-        let settings = HostSettings::parse(file, &common)
+        // Each host gets a store of its own; here one is named since plans ask for it.
+        let store = if doc.has("plans") { "\noverrides {\n  store = \"\"\n  admin = \"\"\n}\n" } else { "" };
+        let settings = HostSettings::parse(file, &(common + store))
             .map_err(|e| ConfigError { line: e.line.saturating_sub(before), ..e })?;
         let mut nodes = Vec::new();
         for f in doc.blocks::<NodesBlock>("nodes", true)? {
@@ -449,6 +462,12 @@
                     "a nodes block, or its name with a shard: name/3",
                 ));
             }
+            if let Action::Plan { name: plan, .. } = &action {
+                if settings.plans_live.is_none() || !settings.plans.iter().any(|p| p.name == *plan) {
+                    let expected = "the name of a plan block, and a plans block beside it";
+                    return Err(wrong("trouble", &name, "plan", plan.clone(), expected));
+                }
+            }
             let traffic_known = |n: &str| traffic.iter().any(|(name, _)| n == name);
             if let Some(n) = unknown(&t.traffic, &traffic_known) {
                 return Err(wrong("trouble", &name, "traffic", n, "the name of a traffic block"));
@@ -582,6 +601,15 @@
         let (hosts, nodes) = (t.hosts.clone(), t.nodes.clone());
         return Ok(Action::Order { hosts, kind, target, nodes, refused: t.refused, force: t.force });
     }
+    if let Some(name) = t.plan.clone() {
+        let times = |key, x: Option<f64>| match x.unwrap_or(1.0) {
+            x if x.is_finite() && x > 0.0 => Ok(x),
+            x => Err((key, x.to_string(), "a number above 0".to_owned())),
+        };
+        let (limit_times, burst_times) =
+            (times("limit_times", t.limit_times)?, times("burst_times", t.burst_times)?);
+        return Ok(Action::Plan { name, limit_times, burst_times });
+    }
     if let Some(client) = &t.client {
         let how = match client.as_str() {
             "garbage" => Misuse::Garbage,
@@ -602,7 +630,7 @@
         (None, Some(times)) => Ok(Action::Surge { traffic: t.traffic.clone(), times }),
         (None, None) if t.moves => Ok(Action::Move { traffic: t.traffic.clone() }),
         _ => {
-            let expected = "one of fault, list, drain, host, times, moves and client";
+            let expected = "one of fault, list, drain, host, times, moves, plan and client";
             Err(("at_s", "nothing is done".into(), expected.into()))
         }
     }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -229,6 +229,7 @@
         // The traffic itself has them; here they are marked for the report.
         Action::Surge { times, .. } => put(at, long, Kind::Surge(*times), 0, None),
         Action::Move { .. } => {}
+        Action::Plan { .. } => return Err("a change of plans".into()),
         Action::Order { refused: true, .. } => return Err("an order that must be refused".into()),
         Action::Order { hosts, kind, target, nodes, .. } => {
             let mut named = day.named(nodes);
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -35,17 +35,14 @@
     order.sort_by(|a, b| size(b).total_cmp(&size(a)));
     for i in order {
         let mut found = None;
-        for n in 0..nodes {
-            if failed[n] >= TIRED {
-                continue;
-            }
+        for (n, failed) in failed.iter_mut().enumerate().filter(|(_, f)| **f < TIRED) {
             let solved = p.solved;
             found = onto(node, &mut p, n, loads, i).map(|there| (n, there));
             if found.is_some() {
-                failed[n] = 0;
+                *failed = 0;
                 break;
             }
-            failed[n] += p.solved - solved;
+            *failed += p.solved - solved;
         }
         match found {
             Some((n, there)) => p.nodes[n] = there,
