What a host remembers of its shards outlives its restart, left with three other hosts

Change: a host leaves its paces with three others each 5 s and when told to end, and asks for them at its start, by datagrams where the settings allow them; paces and pace_known in the module. The sum that the guard is argued by stays as it was. A loopback test found that a life that ends within a second took back its own; it takes nothing any more once it has left something.

--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -627,6 +627,15 @@
         }
     }
 
+    /// What each shard did for this host, units a second; and what an earlier life of it saw.
+    pub fn paces(&self, now: Instant) -> Vec<(ShardId, f64)> {
+        self.scheduler.paces(now)
+    }
+
+    pub fn pace_known(&mut self, now: Instant, shard: ShardId, rate: f64) {
+        self.scheduler.pace_known(now, shard, rate);
+    }
+
     /// Takes this host in among others.
     pub fn with_fellows(&mut self, now: Instant, fellows: Fellows) {
         if let Some(orders) = &mut self.orders {
--- a/crates/httphost/src/poller.rs
+++ b/crates/httphost/src/poller.rs
@@ -13,6 +13,7 @@
     Link(u32),
     Client(u32),
     Listener,
+    Peers,
 }
 
 impl Token {
@@ -23,6 +24,7 @@
             Token::Link(n) => (2, n),
             Token::Client(n) => (3, n),
             Token::Listener => (4, 0),
+            Token::Peers => (5, 0),
         };
         EventData::new_u64(kind << 32 | u64::from(n))
     }
@@ -34,6 +36,7 @@
             1 => Token::Signal(n),
             2 => Token::Link(n),
             3 => Token::Client(n),
+            5 => Token::Peers,
             _ => Token::Listener,
         }
     }
--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -1,6 +1,7 @@
 //! The loop.
 
 use crate::clients::{ClientCounters, Clients, Said};
+use crate::keepers::{self, Keepers};
 use crate::links::{LinkCounters, Links};
 use crate::poller::{Poller, Ready, Token, READ};
 use crate::pool::Split;
@@ -8,7 +9,7 @@
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::{ErrorKind, Read};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tackmast::interface::{Instant, ListKind, NodeId, NodeState, Outcome, Span};
@@ -24,6 +25,8 @@
 const SWEEP: f64 = 0.02; // seconds
 /// Connections accepted in one turn, at most.
 const ACCEPTS: usize = 32;
+/// Datagrams taken in one turn, at most.
+const DATAGRAMS: usize = 64;
 /// Calls for the node list are at least this far apart; well within the time after which one is a new watch.
 const CALLS_APART: f64 = 0.05; // seconds
 /// After SIGTERM, while clients still come: new connections for up to 0.4 s, and requests on those they have for as long
@@ -64,6 +67,8 @@
     pub open: (usize, usize, usize),
     pub nodes: usize,
     pub version: u64,
+    /// Shards of which an earlier life's memory came back.
+    pub known_again: usize,
 }
 
 struct Clock(std::time::Instant);
@@ -102,6 +107,9 @@
     swept: Instant,
     ending: Option<Instant>,
     settled: bool,
+    /// Those who keep what this host remembers, and whom it keeps it for.
+    peers: Option<(UdpSocket, Keepers)>,
+    known_again: usize,
 }
 
 impl Host {
@@ -135,6 +143,18 @@
         };
         let core = Core::placed(now, s.scheduler(now, c.seed), placed, c.seed);
         let reports = Reports::of(&s);
+        let peers = match &c.peers {
+            None => None,
+            Some((at, all)) => {
+                let bound = UdpSocket::bind(at).and_then(|u| {
+                    u.set_nonblocking(true)?;
+                    poller.add(&u, Token::Peers, READ)?;
+                    Ok(u)
+                });
+                let socket = bound.map_err(|e| format!("peer_listen: {at}: {e}"))?;
+                Some((socket, Keepers::new(now, s.me as usize, all.clone())))
+            }
+        };
         let mut host = Host {
             core,
             clock,
@@ -158,6 +178,8 @@
             swept: now,
             ending: None,
             settled: false,
+            peers,
+            known_again: 0,
             settings: s,
         };
         if let Some(known) = &c.known {
@@ -190,6 +212,7 @@
             open: self.core.open(),
             nodes: self.core.nodes().entries().count(),
             version: self.core.list_version(),
+            known_again: self.known_again,
         }
     }
 
@@ -227,6 +250,7 @@
                     self.said(now, id, said);
                 }
                 Token::Listener => self.accept(now),
+                Token::Peers => self.hear(now),
             }
             self.carry_out();
         }
@@ -255,7 +279,32 @@
         Duration::from_secs_f64(sweep.min(wake).max(0.0))
     }
 
+    /// Datagrams of other hosts, a bounded number in a turn.
+    fn hear(&mut self, now: Instant) {
+        let Some((socket, k)) = &mut self.peers else { return };
+        let mut bytes = [0; keepers::MOST + 1];
+        for _ in 0..DATAGRAMS {
+            let Ok((n, from)) = socket.recv_from(&mut bytes) else { break };
+            for (to, answer) in k.heard(now, from, &bytes[..n]) {
+                _ = socket.send_to(&answer, to);
+            }
+        }
+        let back = k.take_back();
+        if !back.is_empty() {
+            tracing::info!(shards = back.len(), "what an earlier life saw of shards is known again");
+        }
+        self.known_again += back.len();
+        for (shard, rate) in back {
+            self.core.pace_known(now, shard, rate);
+        }
+    }
+
     fn sweep(&mut self, now: Instant) {
+        if let Some((socket, k)) = &mut self.peers {
+            for (to, bytes) in k.tick(now, || self.core.paces(now)) {
+                _ = socket.send_to(&bytes, to);
+            }
+        }
         let late = self.watch.tick(now);
         self.news(now, late);
         if self.follows && !self.watch.is_calling() && self.ask_at.is_some_and(|t| t <= now) {
@@ -307,6 +356,11 @@
         match order {
             Order::End if self.ending.is_none() => {
                 self.ending = Some(now);
+                if let Some((socket, k)) = &mut self.peers {
+                    for (to, bytes) in k.leave(self.core.paces(now)) {
+                        _ = socket.send_to(&bytes, to);
+                    }
+                }
                 tracing::info!(open = self.core.open().0, "host ends: answers what it has taken");
             }
             Order::End => {}
--- /dev/null
+++ b/crates/httphost/tests/keepers.rs
@@ -0,0 +1,93 @@
+//! Hosts on loopback that keep for each other what they remember of shards: a host that ends and starts again has it back.
+
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tackmast_httphost::{Host, Order, Status};
+use tackmast_platform::Configuration;
+use tackmast_standins::http::{Heard, HttpClient, HttpList, HttpNode, ListLine};
+
+struct Run {
+    address: SocketAddr,
+    term: UnixStream,
+    host: JoinHandle<Status>,
+}
+
+fn start(me: usize, peers: &[SocketAddr], list: &HttpList) -> Run {
+    let all: Vec<String> = peers.iter().map(|p| format!("\"{p}\"")).collect();
+    let text = format!(
+        r#"{{"name":"n{me}","listen":"127.0.0.1:0","discovery":"{}","seed":"7","known":{},
+        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
+        "peer_listen":"{}","peers":[{}],
+        "settings":{{"balancers":{},"me":{me},"granularity":0.002,"areas":["a"],"registry_mode":"ask",
+          "limits":{{"peers":true}},
+          "request_classes":[{{"name":"read","effect":"repeatable","target":0.3,"give_up":1.0}}],
+          "grades":[{{"name":"gold"}}]}}}}"#,
+        list.address(),
+        list.text(),
+        peers[me],
+        all.join(","),
+        peers.len()
+    );
+    let (term, ends) = UnixStream::pair().unwrap();
+    let (says, started) = std::sync::mpsc::channel();
+    let host = std::thread::spawn(move || {
+        let mut host = Host::start(&Configuration::parse(text.as_bytes()).unwrap()).unwrap();
+        host.takes_orders(Order::End, ends).unwrap();
+        says.send(host.address().unwrap()).unwrap();
+        host.run(|| Err("nothing to read again".into()));
+        host.status()
+    });
+    Run { address: started.recv().unwrap(), term, host }
+}
+
+impl Run {
+    fn end(mut self) -> Status {
+        self.term.write_all(b"x").unwrap();
+        self.host.join().unwrap()
+    }
+
+    fn ask(&self, number: u32) {
+        let mut client = HttpClient::connect(self.address).unwrap();
+        client.say(
+            format!(
+                "GET /api/00000000000000aa/{number:016x} HTTP/1.1\r\nHost: h\r\nX-Call-Id: {number:016x}\r\n\
+                 X-Call-Class: read\r\nX-Storage-Class: gold\r\nX-Budget-Ms: 1000\r\n\
+                 X-Extent: units=1,shard=0,hosts=1\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        match client.hear(Duration::from_secs(5)) {
+            Heard::Answer(a) => assert_eq!(a.status, 200),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_host_that_starts_again_has_back_what_it_remembered() {
+    let node = HttpNode::start().unwrap();
+    let list = HttpList::start().unwrap();
+    let address = node.address();
+    list.holds(ListLine { id: "s-0".into(), address, shard: 0, phase: "Ready", up_since_ms: 0 });
+    // Ports that were free a moment ago.
+    let held: Vec<UdpSocket> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+    let peers: Vec<SocketAddr> = held.iter().map(|s| s.local_addr().unwrap()).collect();
+    drop(held);
+    let (first, second, third) = (start(0, &peers, &list), start(1, &peers, &list), start(2, &peers, &list));
+    (1..20).for_each(|n| first.ask(n));
+    assert_eq!(first.end().known_again, 0, "there was no life before");
+    let again = start(0, &peers, &list);
+    let began = Instant::now();
+    // Noise beside it changes nothing.
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    stranger.send_to(b"tk\x03\x00\x01\x00\x05\x40\x00", peers[0]).unwrap();
+    while began.elapsed() < Duration::from_millis(1500) {
+        again.ask(1000 + began.elapsed().as_millis() as u32);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(again.end().known_again, 1, "the shard that it had asked");
+    assert_eq!((second.end().known_again, third.end().known_again), (0, 0), "they had asked none");
+}
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -24,6 +24,8 @@
     /// As this host last had it; may be old.
     pub known: Option<List>,
     pub settings: Settings,
+    /// Where datagrams of other hosts come, and all hosts by their numbers; none where the settings allow no datagrams.
+    pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
 }
 
 /// Less than this is no room for a host.
@@ -56,7 +58,21 @@
             None | Some(Value::Null) => None,
             Some(v) => Some(List::of(v, &settings).map_err(|e| format!("known.{e}"))?),
         };
+        let peers = match (settings.peers, all.get("peers")) {
+            (false, _) | (true, None | Some(Value::Null)) => None,
+            (true, Some(v)) => {
+                let one = |(i, v): (usize, &Value)| {
+                    let a = v.as_str().and_then(|a| a.parse().ok());
+                    a.ok_or_else(|| format!("peers[{i}]: {}; expected an address", shown(Some(v))))
+                };
+                let list =
+                    v.as_array().ok_or_else(|| format!("peers: {}; expected addresses", shown(Some(v))))?;
+                let list = list.iter().enumerate().map(one).collect::<Result<Vec<SocketAddr>, String>>()?;
+                Some((address("peer_listen")?, list))
+            }
+        };
         Ok(Configuration {
+            peers,
             name: text(all.get("name"), "name").unwrap_or("host").to_owned(),
             listen: address("listen")?,
             discovery: address("discovery")?,
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -30,6 +30,10 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub hosts: u32,
+    /// This host's number.
+    pub me: u32,
+    /// Whether hosts may send each other datagrams.
+    pub peers: bool,
     pub tick: Span,
     pub mean_units: f64,
     /// Of one transfer, at most; 0: not told.
@@ -81,6 +85,8 @@
         };
         Ok(Settings {
             hosts: or(env, "balancers", 1.0)? as u32,
+            me: or(env, "me", 0.0)? as u32,
+            peers: limits.get("peers").and_then(Value::as_bool).unwrap_or(false),
             tick: span(env, "granularity")?,
             mean_units: or(&domain, "unit_mean", 1.0)?,
             most_units: or(&domain, "largest", 0.0)?,
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -86,6 +86,25 @@
         let e = Configuration::parse(all.to_string().as_bytes()).unwrap_err();
         assert!(words.iter().all(|w| e.contains(w)) && !e.contains('\n'), "{place}: {e}");
     }
+    // Datagrams are there only where the settings allow them, and then their addresses must be good.
+    let with = |allowed: bool, peers: Value, listen: Value| {
+        let mut all = config();
+        all["settings"]["limits"]["peers"] = json!(allowed);
+        (all["peers"], all["peer_listen"]) = (peers, listen);
+        Configuration::parse(all.to_string().as_bytes()).map(|c| c.peers.map(|p| p.1.len()))
+    };
+    let (two, here) = (json!(["127.0.0.1:1", "127.0.0.1:2"]), json!("127.0.0.1:1"));
+    assert_eq!(with(true, two.clone(), here.clone()), Ok(Some(2)));
+    assert_eq!(with(false, two.clone(), json!(7)), Ok(None));
+    assert_eq!(with(true, json!(null), here.clone()), Ok(None));
+    for (peers, listen, part) in [
+        (json!(["127.0.0.1:1", "x"]), here.clone(), "peers[1]: \"x\"; expected an address"),
+        (json!("all"), here, "peers: \"all\"; expected addresses"),
+        (two, json!("x"), "peer_listen: \"x\"; expected an address"),
+    ] {
+        let e = with(true, peers, listen).unwrap_err();
+        assert!(e.contains(part), "{e}");
+    }
     for (text, word) in [("", "expected JSON"), ("{\"a\":", "expected JSON"), ("[]", "expected an object")] {
         assert!(Configuration::parse(text.as_bytes()).unwrap_err().contains(word), "{text}");
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -238,6 +238,20 @@
         v.split.served(now, shard, own, elsewhere, SPLIT_LEAST * self.mean_units);
     }
 
+    /// What an earlier life of this host saw a shard do for it, units a second.
+    pub fn pace_known(&mut self, now: Instant, shard: ShardId, rate: f64) {
+        self.now = now;
+        let s = self.shards.entry(shard).or_default();
+        s.pace.known(now, rate, COLD_SEEN_LEAST, COLD_MEMORY);
+        self.due.insert(shard);
+    }
+
+    /// The same of each shard in this life, for the next one.
+    pub fn paces(&self, now: Instant) -> Vec<(ShardId, f64)> {
+        let rate = |s: &Shard| s.pace.rate(now, COLD_MEMORY, COLD_SEEN_LEAST);
+        self.shards.iter().map(|(id, s)| (*id, rate(s))).collect()
+    }
+
     /// How many transfers a node says wait there; reports lag.
     pub fn load_reported(&mut self, now: Instant, node: NodeId, waiting: f64) {
         self.now = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -474,6 +474,12 @@
         self.at = Some(now);
     }
 
+    /// As if this rate had been seen for so long.
+    pub fn known(&mut self, now: Instant, rate: f64, secs: f64, memory: f64) {
+        self.add(now, rate * secs, memory);
+        self.secs += secs;
+    }
+
     /// As if at least `least` seconds had been seen.
     pub fn rate(&self, now: Instant, memory: f64, least: f64) -> f64 {
         let gone = self.at.map_or(0.0, |t| (now - t).secs());
