A change of plans that nobody brings holds nothing up; an empty list of peers is none

Cause: read again: one word of a change that nobody has kept a home from taking changes, and starting hosts from serving until settle_s, for as long as it was remembered; and a host whose number is not among its peers indexed an empty list (Keepers::keepers). Change: after twenty asks without a piece the word is forgotten; addresses are taken only where there are any. Figures: a test with a word of change 2^64-1 that never comes (forgotten after 2 s), pieces that were not asked for, doubled, of others or without end; keepers for numbers that none of the peers has.

--- a/crates/httphost/src/keepers.rs
+++ b/crates/httphost/src/keepers.rs
@@ -65,7 +65,7 @@
             (1..=KEEPERS).map(|k| (self.me + k * n / (KEEPERS + 1)) % n.max(1)).collect();
         all.retain(|i| *i != self.me);
         all.dedup();
-        all.into_iter().map(|i| self.peers[i]).collect()
+        all.into_iter().filter_map(|i| self.peers.get(i).copied()).collect()
     }
 
     /// What is to be sent now. `paces`: units a second of each shard.
@@ -229,6 +229,12 @@
         let sent: usize =
             (0..60).map(|i| k.tick(at(f64::from(i) * 0.1), || vec![(ShardId(1), 2.0)]).len()).sum();
         assert_eq!(sent, 3 * 3 + 3, "asks to three keepers, and one round of leaving");
+        // A number that none of the peers has, and no peers at all.
+        for (me, n) in [(3, 0), (9, 4), (0, 1)] {
+            let mut odd = Keepers::new(at(0.0), me, peers(n));
+            let sent = odd.tick(at(9.0 * 9.0), || vec![(ShardId(1), 2.0)]).len();
+            assert!(sent == 0 || n > 1, "{me} of {n}: {sent}");
+        }
         // What comes back after that may be its own.
         let back = [b't', b'k', BACK, 0, 1, 0, 7, 0x7f, 0x80, 0, 8, 0xc0, 0, 0, 9, 0x40, 0];
         k.heard(at(6.2), all[1], &back);
--- a/crates/membership/src/papers.rs
+++ b/crates/membership/src/papers.rs
@@ -190,6 +190,10 @@
     /// Against a word that got lost on its way: a large text is many of them.
     pub fn tick(&mut self, now: Instant) {
         let due = self.next_wake().is_some_and(|t| t <= now);
+        // Against a word of a change that nobody has: it would hold up clients, and every change at the home.
+        if self.fetch.as_ref().is_some_and(|f| f.tries >= TRIES) {
+            (self.fetch, self.heard) = (None, (self.newest.0, now));
+        }
         if let Some(f) = self.fetch.as_mut().filter(|_| due) {
             (f.asked, f.tries) = (now, f.tries + 1);
             self.says.push_back((f.from, Body::PaperWant { number: f.number, piece: f.next }));
--- a/crates/membership/tests/member.rs
+++ b/crates/membership/tests/member.rs
@@ -185,3 +185,47 @@
     assert!(all.iter().any(|o| matches!(o, Output::Do(Do::Hold { .. }))), "it is told once, and not lost");
     assert!(all.len() <= 4_100 && m.counters.lost_full > 1_000, "{} and {:?}", all.len(), m.counters);
 }
+
+#[test]
+fn a_change_that_nobody_has_holds_nothing_up_and_pieces_count_only_as_asked() {
+    let mut m = member(5);
+    m.papers.begin((0, 0), []);
+    let at = |s: f64| Instant::from_secs(10.0 + s);
+    let word = |number| Body::Paper { number, mark: number, left_ms: 5000 };
+    m.datagram(at(0.0), address(1), datagram(1, 1, word(u64::MAX), vec![]));
+    assert_eq!((m.papers.behind(), m.papers.is_up_to_date()), (Some(u64::MAX), false));
+    (1..40).for_each(|i| m.tick(at(f64::from(i) * 0.1)));
+    assert_eq!((m.papers.behind(), m.papers.is_up_to_date()), (None, true), "nobody brings it");
+
+    // A real one, of three pieces; between them come pieces that were not asked for, or of others, and doubled ones.
+    let text: Vec<u8> = (0..3000u32).map(|i| i as u8).collect();
+    let piece = |i: u16| Body::PaperPiece {
+        number: 1,
+        piece: i,
+        pieces: 3,
+        bytes: Bytes::copy_from_slice(
+            &text[usize::from(i) * 1200..text.len().min(usize::from(i + 1) * 1200)],
+        ),
+    };
+    m.datagram(at(5.0), address(1), datagram(1, 1, word(1), vec![]));
+    for (from, i) in [(1, 2), (2, 0), (1, 0), (1, 0), (2, 1), (1, 1), (1, 1), (1, 2), (1, 2)] {
+        m.datagram(at(5.01), address(from), datagram(from, 1, piece(i), vec![]));
+    }
+    let came = std::iter::from_fn(|| m.next_output()).filter_map(|o| match o {
+        Output::Paper(p) => Some(p),
+        _ => None,
+    });
+    let came: Vec<Paper> = came.collect();
+    assert_eq!(came, [Paper { number: 1, text: Bytes::from(text) }]);
+    m.paper_taken(at(5.1), 1, 1, came[0].text.clone(), at(9.0));
+    assert_eq!((m.papers.behind(), m.papers.is_up_to_date(), m.papers.at().0), (None, true, 1));
+
+    // Endless pieces end at the bound of one text.
+    m.datagram(at(6.0), address(1), datagram(1, 1, word(2), vec![]));
+    for i in 0..1000u16 {
+        let bytes = Bytes::from(vec![0; 1200]);
+        let body = Body::PaperPiece { number: 2, piece: i, pieces: u16::MAX, bytes };
+        m.datagram(at(6.0), address(1), datagram(1, 1, body, vec![]));
+    }
+    assert_eq!(m.papers.spoilt, 1);
+}
