A shard's memory that comes back in two pieces counts once

Cause: read again: what keepers give back was kept apart by piece, not by shard; an older piece of one keeper beside a newer one of another could name a shard twice (Keepers::heard), and the cold guard's argument needs each memory once. Change: a shard that has come back once is left out of later pieces. A stale comment of the planner says what is there.

--- a/crates/cli/src/planner.rs
+++ b/crates/cli/src/planner.rs
@@ -32,7 +32,7 @@
     ahead: f64,
 }
 
-/// A load's name, its units a second in the mean, and what it asks: of a volume, a stream type and a shard.
+/// What a recorded load asks of one volume, stream type and shard.
 struct Asked {
     volume: usize,
     stream: usize,
--- a/crates/httphost/src/keepers.rs
+++ b/crates/httphost/src/keepers.rs
@@ -3,7 +3,7 @@
 //! what all hosts remember stays what it was, so nothing new has to be argued about cold nodes (docs/design.md). Datagrams
 //! may be late, doubled or lost: then a host starts without, as ever. No I/O.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use tackmast::interface::{Instant, ShardId, Span};
 
@@ -38,6 +38,8 @@
     left: bool,
     kept: BTreeMap<(usize, u8), (Instant, Vec<u8>)>,
     back: BTreeMap<u8, Vec<(ShardId, f64)>>,
+    /// Shards that came back: one may stand in an older piece of one keeper and a newer one of another.
+    known: BTreeSet<ShardId>,
     pub strangers: u64,
 }
 
@@ -55,6 +57,7 @@
             left: false,
             kept: BTreeMap::new(),
             back: BTreeMap::new(),
+            known: BTreeSet::new(),
             strangers: 0,
         }
     }
@@ -141,7 +144,8 @@
                     let shard = ShardId(u32::from(u16::from_be_bytes([e[0], e[1]])));
                     (rate.is_finite() && rate > 0.0).then_some((shard, rate))
                 });
-                self.back.insert(*piece, entries.collect());
+                let known = &mut self.known;
+                self.back.insert(*piece, entries.filter(|(shard, _)| known.insert(*shard)).collect());
             }
             _ => self.strangers += 1,
         }
@@ -244,5 +248,8 @@
         k.tick(at(0.1), Vec::new);
         k.heard(at(0.2), all[1], &back);
         assert_eq!(k.take_back(), [(ShardId(9), 2.0)]);
+        // Another keeper's older piece, in which the same shard stands once more: it must not count twice.
+        k.heard(at(0.3), all[2], &[b't', b'k', BACK, 1, 2, 0, 9, 0x40, 0, 0, 5, 0x40, 0]);
+        assert_eq!(k.take_back(), [(ShardId(5), 2.0)]);
     }
 }
