--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -141,7 +141,7 @@
             world.rate = rate.unwrap_or(world.rate);
             world.troubles.retain(|t| !calm && t.node < world.nodes);
             if let Some(file) = file {
-                let load = load(&file)?;
+                let load = tackmast_load::Load::read(&file).map_err(|e| e.to_string())?;
                 world.seconds = seconds.unwrap_or(load.seconds + 0.5);
                 world.load = Some(std::sync::Arc::new(load));
             }
@@ -176,7 +176,7 @@
             if !(1..=8).contains(&hosts) || !(1..=60).contains(&nodes) || !(0.1..=100.0).contains(&unit_ms) {
                 return Err(format!("--hosts {hosts} --nodes {nodes} --unit-ms {unit_ms}; expected 1 to 8, 1 to 60, 0.1 to 100"));
             }
-            let load = load(&file)?;
+            let load = tackmast_load::Load::read(&file).map_err(|e| e.to_string())?;
             println!("{hosts} hosts, {nodes} nodes; models in virtual time, and stand-ins on loopback");
             println!(
                 "{:<12} {:<9} {:>7} {:>8} {:>9} {:>8} {:>9} {:>9}",
@@ -292,11 +292,6 @@
     change: Change,
 }
 
-pub fn load(path: &std::path::Path) -> Result<tackmast_load::Load, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    tackmast_load::Load::parse(&path.display().to_string(), &text).map_err(|e| e.to_string())
-}
-
 fn variant(path: &std::path::Path) -> Result<Variant, String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
--- a/crates/cli/src/planner.rs
+++ b/crates/cli/src/planner.rs
@@ -126,7 +126,7 @@
             }
         }
         let s = HostSettings::read(&self.config).map_err(|e| e.to_string())?;
-        let load = crate::lab::load(&self.load)?;
+        let load = tackmast_load::Load::read(&self.load).map_err(|e| e.to_string())?;
         if let Some(f) = load.flows.iter().find(|f| !s.volumes.iter().any(|v| v.name == f.volume)) {
             let at = self.load.display();
             return Err(format!(
@@ -247,7 +247,7 @@
         "load", "class", "SLO", "bound", "p50", "p99", "p99.9", "most", "in time"
     );
     for file in files {
-        let load = crate::lab::load(file)?;
+        let load = tackmast_load::Load::read(file).map_err(|e| e.to_string())?;
         let mut w = World::draw(seed, hosts);
         w.troubles.clear();
         (w.nodes, w.clients, w.unit_s, w.saved) = (nodes, [0, 0], 0.004, 0.0);
--- /dev/null
+++ b/crates/hostcore/src/core/commands.rs
@@ -0,0 +1,253 @@
+//! Client commands: taken, refused, given up, answered in parts.
+
+use super::*;
+
+impl Core {
+    /// A client's command, owed one answer. `began` is when its first byte came; `asked` the time its client
+    /// waits, where that was negotiated; `mark` the client's own mark against repeats. The caller has checked
+    /// that the volume exists and holds the blocks.
+    #[allow(clippy::too_many_arguments)] // one decoded field, one argument
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: Work,
+        began: Instant,
+        asked: Option<Span>,
+        mark: Option<u128>,
+    ) {
+        self.counters.taken += 1;
+        let Some(volume) = self.layout.volume_of(lun) else {
+            return self.refuse(from, None);
+        };
+        let v = self.layout.volume(volume);
+        let block_bytes = v.block_bytes as usize;
+        let (write, blocks) = match &work {
+            Work::Read { blocks } => (false, *blocks),
+            Work::Write { data } => (true, (data.len() / block_bytes) as u32),
+        };
+        let (plan, hosts, name) = (PlanId(v.plan), v.hosts, VolumeId(volume as u32));
+        let stream = self.layout.stream(volume, write, blocks);
+        let expiry = began + asked.unwrap_or(self.streams[stream].expiry) - self.lead;
+        let parts = self.layout.parts(volume, stream, block, blocks);
+        if self.draining || self.clients_wait(now) {
+            return self.refuse(from, Some(self.longest_wait));
+        }
+        if expiry <= now || parts.is_empty() || self.commands.contains_key(&from) {
+            return self.refuse(from, None);
+        }
+        let bytes = blocks as usize * block_bytes;
+        // A full table answers at once with when to come back; nothing is dropped in silence.
+        let held = Held { transfers: parts.len(), bytes };
+        if let Err(wait) = self.admission.enter(now, from.session, volume, held) {
+            self.counters.over_bound += 1;
+            return self.refuse(from, Some(wait));
+        }
+        let data = match work {
+            Work::Write { data } => Some(data),
+            Work::Read { .. } => None,
+        };
+        let ids: Vec<XferId> = parts.iter().map(|_| self.new_id()).collect();
+        let open = ids.iter().map(|id| (*id, None, Bytes::new())).collect();
+        let command = Command { parts: open, stream, volume, marked: mark.is_some(), bytes, write };
+        self.commands.insert(from, command);
+        self.sessions.entry(from.session).or_default().insert(from.command);
+        let mut taken = 0;
+        for (i, (id, spec)) in ids.iter().zip(&parts).enumerate() {
+            let n = spec.blocks as usize * block_bytes;
+            let part_data = data.as_ref().map(|d| d.slice(taken..taken + n));
+            taken += n;
+            let serial = self.serial - (ids.len() - 1 - i) as u64;
+            let line = LineName { shard: spec.shard.0, volume: name.0, stream: stream as u32 };
+            let place = self.sharing.arrived(line, from.session, spec.units);
+            if let Some(f) = &mut self.fellows {
+                f.member.asked(now, lun, spec.units);
+            }
+            let tag = place.tag;
+            let v = self.layout.volume(volume);
+            let text = LegText {
+                key: if self.streams[stream].in_order { spec.key } else { 0 },
+                volume: v.lun,
+                offset: spec.block * u64::from(v.block_bytes),
+                units: spec.units,
+                work: match part_data {
+                    Some(data) => LegWork::Write { data },
+                    None => LegWork::Read { length: spec.blocks * v.block_bytes },
+                },
+            };
+            self.xfers.insert(*id, Xfer::new(serial, (from, i as u16), text, stream, expiry, Some(place)));
+            self.scheduler.transfer_arrived(
+                now,
+                *id,
+                StreamId(stream as u32),
+                plan,
+                Some(key_id(spec.key)),
+                expiry - now,
+                name,
+                spec.units,
+                Some(spec.shard),
+                hosts,
+            );
+            self.scheduler.transfer_tagged(*id, tag);
+        }
+    }
+
+    /// A transfer that its client has placed already, owed one answer. Volumes, keys and shards are the client's words.
+    pub fn submit_placed(&mut self, now: Instant, from: CommandRef, p: Placed) {
+        self.counters.taken += 1;
+        if self.draining {
+            return self.refuse(from, Some(self.longest_wait));
+        }
+        let known = self.scheduler.knows(p.stream, p.plan);
+        if !known || p.left <= Span::ZERO || self.commands.contains_key(&from) {
+            return self.refuse(from, None);
+        }
+        let open = |v: usize| self.commands.values().any(|c| c.volume == v);
+        let Some(volume) = self.volume_names.number(now, p.volume, open) else {
+            self.counters.over_bound += 1;
+            return self.refuse(from, Some(self.longest_wait));
+        };
+        let bytes = p.request.bytes();
+        if let Err(wait) = self.admission.enter(now, from.session, volume, Held { transfers: 1, bytes }) {
+            self.counters.over_bound += 1;
+            return self.refuse(from, Some(wait));
+        }
+        let (id, stream) = (self.new_id(), p.stream.0 as usize);
+        let parts = vec![(id, None, Bytes::new())];
+        // The client's own mark stands in the request: it is the same at each of its tries.
+        self.commands.insert(from, Command { parts, stream, volume, marked: true, bytes, write: false });
+        self.sessions.entry(from.session).or_default().insert(from.command);
+        let work = LegWork::Request(p.request);
+        let text = LegText { key: 0, volume: volume as u32, offset: 0, units: p.units, work };
+        self.xfers.insert(id, Xfer::new(self.serial, (from, 0), text, stream, now + p.left, None));
+        let (volume, key) = (VolumeId(volume as u32), Some(key_id(p.key)));
+        self.scheduler
+            .transfer_arrived(now, id, p.stream, p.plan, key, p.left, volume, p.units, p.shard, p.hosts);
+    }
+
+    /// The next number that no open transfer has. Answered ones keep theirs until their last leg is back.
+    pub(super) fn new_id(&mut self) -> XferId {
+        loop {
+            self.serial += 1;
+            let id = XferId(self.serial as u32);
+            if !self.xfers.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    pub(super) fn refuse(&mut self, to: CommandRef, come_back: Option<Span>) {
+        self.counters.deferred += 1;
+        self.outputs.push_back(Output::Answer { to, verdict: Verdict::Deferred { come_back } });
+    }
+
+    /// The host will end: what comes from now on is deferred, what is open goes on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// The host ends now: each command still open has its answer at once. Deferred where nothing of it can have run,
+    /// abandoned otherwise.
+    pub fn settle(&mut self, now: Instant) {
+        self.draining = true;
+        let mut open: Vec<CommandRef> = self.commands.keys().copied().collect();
+        open.sort();
+        for from in open {
+            let Some(first) = self.commands.get(&from).and_then(|c| c.parts.iter().find(|p| p.1.is_none()))
+            else {
+                continue;
+            };
+            let (id, come_back) = (first.0, Some(self.longest_wait));
+            // As if the module had deferred it: the parts together tell whether that can be said.
+            self.part_over(now, id, PartEnd::Deferred { ran: true, come_back }, Bytes::new());
+        }
+    }
+
+    /// The client has taken the command back, or was told that it is over; no answer is wanted.
+    pub fn abort(&mut self, now: Instant, from: CommandRef) {
+        if let Some(c) = self.commands.remove(&from) {
+            self.counters.left += 1;
+            self.forget_command(now, from, &c);
+            for (id, _, _) in c.parts {
+                self.let_go(now, id);
+            }
+        }
+    }
+
+    pub fn session_gone(&mut self, now: Instant, session: u32) {
+        for command in self.sessions.remove(&session).unwrap_or_default() {
+            self.abort(now, CommandRef { session, command });
+        }
+        self.sharing.gone(session);
+    }
+
+    /// The transfer of one part has its end.
+    pub(super) fn part_over(&mut self, now: Instant, id: XferId, mut end: PartEnd, data: Bytes) {
+        let Some((from, part)) = self.xfers.get(&id).filter(|x| !x.answered).map(|x| (x.from, x.part)) else {
+            return;
+        };
+        // An undone part settles the whole command. What is still unsent of it is taken back before it is
+        // judged whether any of it may have run: a leg that left in between would make the judgement false.
+        let ids: Vec<XferId> = match (end, self.commands.get(&from)) {
+            (PartEnd::Done, _) | (_, None) => vec![id],
+            (_, Some(c)) => c.parts.iter().map(|(id, _, _)| *id).collect(),
+        };
+        for id in ids {
+            self.withdraw_legs(now, id);
+        }
+        if let Some(x) = self.xfers.get(&id) {
+            if let PartEnd::Deferred { ran, .. } | PartEnd::Abandoned { ran } = &mut end {
+                *ran = x.may_have_run();
+            }
+        }
+        if let Some(x) = self.xfers.get_mut(&id) {
+            x.answered = true;
+            if let Some(place) = x.place.take() {
+                self.sharing.left(place);
+            }
+        }
+        self.call_back(id);
+        self.forget(id);
+        let Some(c) = self.commands.get_mut(&from) else { return };
+        if let Some(slot) = c.parts.get_mut(usize::from(part)) {
+            (slot.1, slot.2) = (Some(end), data);
+        }
+        let open = |id: &XferId| self.xfers.get(id).is_some_and(Xfer::may_have_run);
+        let ends: Vec<PartEnd> =
+            c.parts.iter().map(|(id, end, _)| end.unwrap_or(PartEnd::Open { ran: open(id) })).collect();
+        let Some(combined) = combine(self.streams[c.stream].effect, c.marked, &ends) else { return };
+        let Some(c) = self.commands.remove(&from) else { return };
+        self.forget_command(now, from, &c);
+        let verdict = match combined {
+            Combined::Done => {
+                self.counters.done += 1;
+                Verdict::Done { data: if c.write { Bytes::new() } else { joined(&c.parts, c.bytes) } }
+            }
+            Combined::Deferred { come_back } => {
+                self.counters.deferred += 1;
+                Verdict::Deferred { come_back }
+            }
+            Combined::Abandoned => {
+                self.counters.abandoned += 1;
+                Verdict::Abandoned
+            }
+        };
+        self.outputs.push_back(Output::Answer { to: from, verdict });
+        for (id, _, _) in c.parts {
+            self.let_go(now, id);
+        }
+    }
+
+    pub(super) fn forget_command(&mut self, now: Instant, from: CommandRef, c: &Command) {
+        let held = Held { transfers: c.parts.len(), bytes: c.bytes };
+        self.admission.leave(now, from.session, c.volume, held);
+        if let Some(open) = self.sessions.get_mut(&from.session) {
+            open.remove(&from.command);
+            if open.is_empty() {
+                self.sessions.remove(&from.session);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hostcore/src/core/legs.rs
@@ -0,0 +1,172 @@
+//! Legs: sent, back, withdrawn.
+
+use super::*;
+
+impl Core {
+    /// Whether a leg has not had its end yet.
+    pub fn is_out(&self, leg: LegId) -> bool {
+        let (id, no) = (XferId((leg.0 >> 8) as u32), (leg.0 & 0xff) as u32);
+        self.xfers.get(&id).is_some_and(|x| x.out.iter().any(|o| o.no == no))
+    }
+
+    /// A leg came back from its link. One that is not known any more had its end before.
+    pub fn leg_back(&mut self, now: Instant, back: LegBack) {
+        let (id, no) = (XferId((back.leg.0 >> 8) as u32), (back.leg.0 & 0xff) as u32);
+        let known = self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no));
+        let Some(node) = known.map(|o| o.node) else {
+            self.counters.strays += 1;
+            return;
+        };
+        if let Some(waiting) = back.waiting {
+            self.scheduler.load_reported(now, node, f64::from(waiting));
+        }
+        self.leg_over(now, id, no, back.outcome, back.elsewhere, back.data);
+    }
+
+    pub(super) fn carry_out(&mut self, now: Instant, decision: Decision) {
+        match decision {
+            Decision::Send { xfer, node, timeout } => self.send(now, xfer, node, timeout),
+            Decision::Defer { xfer, come_back } => {
+                let end = PartEnd::Deferred { ran: true, come_back };
+                self.part_over(now, xfer, end, Bytes::new());
+            }
+            Decision::Abandon { xfer } => {
+                self.part_over(now, xfer, PartEnd::Abandoned { ran: true }, Bytes::new());
+            }
+            Decision::FollowList => self.outputs.push_back(Output::FollowList { since: self.list_version }),
+            Decision::Log(line) => {
+                // The module's lines name a node by its number, as their second word.
+                let mut words = line.split(' ');
+                let number = words.next().filter(|w| *w == "node").and_then(|_| words.next()?.parse().ok());
+                self.outputs.push_back(Output::Mode { node: number.map(NodeId), line });
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, now: Instant, id: XferId, node: NodeId, timeout: Option<Span>) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let until = timeout.map_or(x.expiry, |t| x.expiry.min(now + t));
+        let (no, st) = (x.legs, &self.streams[x.stream]);
+        x.legs += 1;
+        if let Some(place) = x.place.take() {
+            self.sharing.sent(place);
+        }
+        let ticket = Ticket::default();
+        x.out.push(Out { no, node, sent: now, until, ticket: ticket.clone() });
+        self.counters.legs += 1;
+        self.counters.further_legs += u64::from(no > 0);
+        self.until.insert((until, id, no));
+        self.at_node.entry(node).or_default().insert((id, no));
+        let keyed = matches!(st.effect, Effect::Keyed { .. });
+        let leg = SendLeg {
+            node,
+            leg: leg_id(id, no),
+            xfer: x.serial,
+            leg_no: no.min(255) as u8,
+            from: x.from,
+            part: x.part,
+            until,
+            mark: if keyed { u128::from(self.life) << 64 | u128::from(x.serial) } else { 0 },
+            key: x.text.key,
+            volume: x.text.volume,
+            offset: x.text.offset,
+            units: x.text.units,
+            work: x.text.work.clone(),
+            ticket,
+        };
+        self.outputs.push_back(Output::Send(Box::new(leg)));
+    }
+
+    /// Every leg has one end: its answer, its link's end, its time, or its withdrawal, whichever is first.
+    pub(super) fn leg_over(
+        &mut self,
+        now: Instant,
+        id: XferId,
+        no: u32,
+        o: Outcome,
+        elsewhere: Option<f64>,
+        data: Bytes,
+    ) {
+        let Some(x) = self.xfers.get_mut(&id) else { return };
+        let Some(i) = x.out.iter().position(|l| l.no == no) else { return };
+        let out = x.out.swap_remove(i);
+        self.until.remove(&(out.until, id, no));
+        if let Some(legs) = self.at_node.get_mut(&out.node) {
+            legs.remove(&(id, no));
+            if legs.is_empty() {
+                self.at_node.remove(&out.node);
+            }
+        }
+        let mut outcome = o;
+        if outcome == Outcome::Done && x.text.wanted().is_some_and(|wanted| data.len() != wanted) {
+            // Bytes that are not those asked for must not pass for them.
+            self.counters.short_answers += 1;
+            outcome = Outcome::Error;
+        }
+        x.ran |= outcome.may_have_run();
+        let (done, answered) = (outcome == Outcome::Done, x.answered);
+        let known = self.tells && elsewhere.is_some();
+        self.scheduler.service_reported(now, id, done, known, elsewhere.unwrap_or(0.0));
+        let (leg, took) = (LegNo(no), now - out.sent);
+        self.scheduler.leg_ended(now, id, leg, outcome, took, answered || done);
+        if done && !answered {
+            self.part_over(now, id, PartEnd::Done, data);
+        }
+        self.forget(id);
+    }
+
+    /// A transfer that was answered and has no leg out leaves the table.
+    pub(super) fn forget(&mut self, id: XferId) {
+        if self.xfers.get(&id).is_some_and(|x| x.answered && x.out.is_empty()) {
+            self.xfers.remove(&id);
+        }
+    }
+
+    /// The command is over before this part of it: nothing new is sent for it, and its legs are called back.
+    pub(super) fn let_go(&mut self, now: Instant, id: XferId) {
+        let Some(x) = self.xfers.get_mut(&id).filter(|x| !x.answered) else { return };
+        x.answered = true;
+        if let Some(place) = x.place.take() {
+            self.sharing.left(place);
+        }
+        self.scheduler.transfer_gone(now, id);
+        self.withdraw_legs(now, id);
+        self.call_back(id);
+        self.forget(id);
+    }
+
+    /// Legs of which no byte has left never will: they provably did not run.
+    pub(super) fn withdraw_legs(&mut self, now: Instant, id: XferId) {
+        let out = self.xfers.get(&id).map_or(&[][..], |x| &x.out);
+        let unsent: Vec<u32> = out.iter().filter(|o| o.ticket.withdraw()).map(|o| o.no).collect();
+        for no in unsent {
+            self.counters.withdrawn += 1;
+            self.leg_over(now, id, no, Outcome::Refused, None, Bytes::new());
+        }
+    }
+
+    /// Nobody waits for the legs that are out: their nodes need not go on.
+    pub(super) fn call_back(&mut self, id: XferId) {
+        let out = self.xfers.get(&id).map_or(&[][..], |x| &x.out);
+        let legs: Vec<_> = out.iter().map(|o| (o.node, leg_id(id, o.no), o.ticket.is_stuck())).collect();
+        for (node, leg, stuck) in legs {
+            self.push_cancel(node, leg, stuck);
+        }
+    }
+
+    pub(super) fn push_cancel(&mut self, node: NodeId, leg: LegId, stuck: bool) {
+        self.counters.cut += u64::from(stuck);
+        self.outputs.push_back(if stuck { Output::Cut { node, leg } } else { Output::Cancel { node, leg } });
+    }
+
+    pub(super) fn withdraw_at(&mut self, now: Instant, node: NodeId) {
+        for (id, no) in self.at_node.get(&node).cloned().unwrap_or_default() {
+            let ticket =
+                self.xfers.get(&id).and_then(|x| x.out.iter().find(|o| o.no == no)).map(|o| &o.ticket);
+            if ticket.is_some_and(Ticket::withdraw) {
+                self.counters.withdrawn += 1;
+                self.leg_over(now, id, no, Outcome::Refused, None, Bytes::new());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hostcore/src/core/listed.rs
@@ -0,0 +1,102 @@
+//! Nodes as the list and operators have them.
+
+use super::*;
+
+impl Core {
+    /// A complete list, or changes that begin at version `from`. What is known is brought to version `to`.
+    pub fn list_came(&mut self, now: Instant, kind: ListKind, from: u64, to: u64, entries: &[ListEntry]) {
+        match kind {
+            ListKind::Failed => return self.scheduler.nodes_changed(now, kind, &[]),
+            // Changes after a gap are news all the same, above all drains; what else has changed is asked for.
+            ListKind::Changes if from != self.list_version => self.outputs.push_back(Output::FetchList),
+            _ => {}
+        }
+        self.list_version = to;
+        let mut known: Vec<NodeEntry> = Vec::with_capacity(entries.len());
+        for e in entries {
+            match self.nodes.note(now, e) {
+                Some(entry) => known.push(entry),
+                None => {
+                    self.counters.nodes_over_bound += 1;
+                    let line = format!("node {} not taken: the table of nodes is full", e.address);
+                    self.outputs.push_back(Output::Mode { node: None, line });
+                }
+            }
+        }
+        if kind != ListKind::Changes {
+            self.nodes.only(&known);
+        }
+        let at_node = &self.at_node;
+        self.nodes.forget_gone(|node| at_node.contains_key(&node));
+        let facts: Vec<NodeFacts> = self.nodes.entries().filter_map(facts).collect();
+        if let Some(orders) = &mut self.orders {
+            orders.overrides.nodes_listed(now, facts);
+        }
+        for e in &mut known {
+            self.given(now, e);
+        }
+        self.scheduler.nodes_changed(now, kind, &known);
+        self.order_nodes(now);
+        self.stop_nodes(now);
+    }
+
+    /// Makes a line of the list what the operators' orders make of it.
+    pub(super) fn given(&self, now: Instant, e: &mut NodeEntry) {
+        let address = self.nodes.address(e.node).and_then(|a| a.parse().ok());
+        let effective = self.orders.as_ref().zip(address).and_then(|(o, a)| o.overrides.effective(now, &a));
+        if let Some(Effective { state, .. }) = effective {
+            e.state = state;
+        }
+    }
+
+    /// Tells the module of nodes that are to be given something else than before.
+    pub(super) fn order_nodes(&mut self, now: Instant) {
+        let Some(orders) = &mut self.orders else { return };
+        let mut stops = false;
+        for (address, given) in orders.overrides.take_changed(now) {
+            let Some(node) = self.nodes.number(&address.to_string()) else { continue };
+            let Some(entry) = self.nodes.entry(node) else { continue };
+            self.scheduler.nodes_changed(
+                now,
+                ListKind::Changes,
+                &[NodeEntry { state: given.state, ..entry }],
+            );
+            self.scheduler.node_ordered(now, node, given.weight, given.pinned);
+            stops |= given.state != NodeState::Ready;
+        }
+        if stops {
+            self.stop_nodes(now);
+        }
+    }
+
+    /// What still waits on a link to a node that drains, or is out of service, must not reach it after the grace.
+    pub(super) fn stop_nodes(&mut self, now: Instant) {
+        let used = self.at_node.keys().copied();
+        let stopped: Vec<NodeId> = used.filter(|n| self.is_stopped(now, *n)).collect();
+        for node in stopped {
+            self.withdraw_at(now, node);
+            if !self.cuts.iter().any(|(_, n)| *n == node) {
+                self.cuts.insert((now + self.grace, node));
+            }
+        }
+    }
+
+    pub(super) fn is_stopped(&self, now: Instant, node: NodeId) -> bool {
+        let entry = self.nodes.entry(node);
+        entry.is_some_and(|mut e| {
+            self.given(now, &mut e);
+            e.state != NodeState::Ready
+        })
+    }
+
+    /// A node said at the start of a link how long it has been up. Later than the list knows: it restarted, and what
+    /// waits for the link was meant for the node as it was. The link must not write before this has been heard.
+    pub fn node_said_up(&mut self, now: Instant, node: NodeId, up: Span) {
+        if let Some(mut entry) = self.nodes.started(now, node, up) {
+            self.given(now, &mut entry);
+            self.scheduler.nodes_changed(now, ListKind::Changes, &[entry]);
+            // Decided for a warm node: against a burst into a cold one at the first link after its start.
+            self.withdraw_at(now, node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/account.rs
@@ -0,0 +1,72 @@
+//! What the run adds up to: service, classes, leaks.
+
+use super::*;
+
+impl Sim<'_> {
+    /// What the trace shows by class, of work, and of the limit.
+    pub(super) fn account(&mut self) {
+        use tackmast_trace::Event as Seen;
+        let mut open: BTreeMap<(u32, u32, u32), (Us, usize)> = BTreeMap::new();
+        let mut served: BTreeMap<(u32, u32, u32), f64> = BTreeMap::new();
+        let (mut limited, mut classes) = (0.0, BTreeMap::<usize, Class>::new());
+        let mut legs: BTreeMap<LegName, (f64, u32)> = BTreeMap::new();
+        let s = &self.settings[0];
+        let streams = s.streams.len();
+        let limit_of = |lun: u32| {
+            let v = s.volumes.iter().find(|v| v.lun == lun);
+            v.map_or(0.0, |v| s.plans[v.plan as usize].limit)
+        };
+        for l in &self.run.trace {
+            match &l.event {
+                Seen::Submit { host, session, command, volume, stream, .. } => {
+                    let plan = s.volumes.iter().find(|v| v.lun == *volume).map_or(0, |v| v.plan);
+                    let class = plan as usize * streams + *stream as usize;
+                    classes.entry(class).or_default().asked += 1;
+                    open.insert((*host, *session, *command), (l.t, class));
+                }
+                Seen::Leg { name, session, command, units, volume, .. } => {
+                    self.run.sent_units += units;
+                    legs.insert(*name, (*units, *volume));
+                    *served.entry((name.host, *session, *command)).or_default() += units;
+                }
+                Seen::LegEnd { name, kind: LegEndKind::Done, .. } => {
+                    limited += legs.get(name).filter(|(_, v)| limit_of(*v) > 0.0).map_or(0.0, |(u, _)| *u);
+                }
+                Seen::Answer { host, session, command, kind, .. } if *kind != AnswerKind::Done => {
+                    if let Some((_, class)) = open.remove(&(*host, *session, *command)) {
+                        let c = classes.entry(class).or_default();
+                        match kind {
+                            AnswerKind::Deferred => c.deferred += 1,
+                            _ => c.abandoned += 1,
+                        }
+                    }
+                }
+                Seen::Answer { host, session, command, .. } => {
+                    if let Some((t, class)) = open.remove(&(*host, *session, *command)) {
+                        let c = classes.entry(class).or_default();
+                        c.done += 1;
+                        let in_time = l.t - t <= (s.streams[class % streams].slo.secs() * 1e6) as Us;
+                        c.in_time += u64::from(in_time);
+                        _ = c.times.record((l.t - t).max(1));
+                        if in_time {
+                            served.remove(&(*host, *session, *command));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.run.wasted_units = served.values().sum();
+        let limit: f64 = s.volumes.iter().map(|v| limit_of(v.lun)).sum();
+        self.run.limit_used = limited / (limit * self.w.seconds).max(1e-9);
+        let name = |c: usize| format!("{} {}", s.plans[c / streams].name, s.streams[c % streams].name);
+        self.run.classes = classes.into_iter().map(|(c, x)| (name(c), x)).collect();
+    }
+
+    pub(super) fn facts(&self) -> Facts {
+        // The way of a message, one way and back, and the jitter of both.
+        let skew_us = 2 * (self.w.delay_us + self.w.jitter_us) + 2000 + (self.w.drift * 4e7) as Us;
+        let grace_s = self.w.day.as_ref().map_or(DRAIN_GRACE as f64 / 1e6, |d| d.day.drain_grace_ms / 1e3);
+        tackmast_day::facts(&settings(self.w, 0, None), 0.001, grace_s, skew_us as f64 / 1e6)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/arrivals.rs
@@ -0,0 +1,242 @@
+//! Commands: drawn, from a load or of a day, and what became of them.
+
+use super::*;
+
+impl Sim<'_> {
+    pub(super) fn loaded(&mut self) {
+        let Some(a) = self.arrivals.pop_front() else { return };
+        if let Some(next) = self.arrivals.front() {
+            self.push(self.now + (next.at_us - a.at_us), Event::Loaded);
+        }
+        let volume = self.w.load.as_ref().map_or("", |l| l.flows[a.flow].volume.as_str());
+        let Some(v) = self.settings[0].volumes.iter().find(|v| v.name == volume) else { return };
+        // A volume comes through its first hosts only, as it was told.
+        let (lun, h) = (v.lun, a.host % v.hosts.clamp(1, self.w.hosts));
+        if !self.hosts[h as usize].up || self.hosts[h as usize].stands > self.now {
+            return;
+        }
+        match self.clients_of[h as usize].iter().find(|c| self.clients[**c as usize].lun == lun).copied() {
+            Some(c) => self.call(c, a.write, a.block, a.blocks),
+            None => self.beside(h, lun, a.write, a.block, a.blocks),
+        }
+    }
+
+    /// A try of a script's traffic: at a host that is up, or not at all, as on loopback.
+    pub(super) fn ask(&mut self, number: u64) {
+        let Some(t) = self.tries.get(&number) else { return };
+        let (first, h) = (t.tries == 0, t.ask.host);
+        let (lun, write, block, blocks) = (t.ask.lun, t.ask.write, t.ask.block, t.ask.blocks);
+        let class = self.class_of(lun, write, blocks);
+        if first {
+            self.run.firsts.entry(class).or_default().asked += 1;
+        }
+        if !self.hosts[h as usize].up {
+            _ = self.tries.remove(&number);
+            return;
+        }
+        let command = self.hosts[h as usize].next + 1;
+        self.hosts[h as usize].asked.insert((BESIDE, command), number);
+        self.beside(h, lun, write, block, blocks);
+    }
+
+    /// Plan and stream type, by name.
+    pub(super) fn class_of(&self, lun: u32, write: bool, blocks: u32) -> String {
+        let s = &self.settings[0];
+        let (stream, volume) = self.stream_of(lun, write, blocks);
+        format!("{} {}", s.plans[s.volumes[volume].plan as usize].name, s.streams[stream].name)
+    }
+
+    /// The stream type of a command, and its volume's place.
+    pub(super) fn stream_of(&self, lun: u32, write: bool, blocks: u32) -> (usize, usize) {
+        let s = &self.settings[0];
+        let volume = s.volumes.iter().position(|v| v.lun == lun).unwrap_or(0);
+        let v = &s.volumes[volume];
+        let large = v.large.filter(|(from, _)| blocks >= *from && !write).map(|(_, stream)| stream);
+        (large.unwrap_or(if write { v.writes } else { v.reads }) as usize, volume)
+    }
+
+    /// What a try's answer makes of it.
+    pub(super) fn tried(&mut self, number: u64, kind: AnswerKind, come_back_us: Us) {
+        let Some(t) = self.tries.get_mut(&number) else { return };
+        let (again, first) = (kind == AnswerKind::Deferred && t.tries < t.ask.retries, t.first);
+        if again {
+            t.tries += 1;
+            let wait = if t.ask.waits { come_back_us } else { 0 };
+            return self.push(self.now + wait, Event::Again(number));
+        }
+        let Some(t) = self.tries.remove(&number) else { return };
+        let (stream, _) = self.stream_of(t.ask.lun, t.ask.write, t.ask.blocks);
+        let name = self.class_of(t.ask.lun, t.ask.write, t.ask.blocks);
+        let (slo, took) = (self.settings[0].streams[stream].slo, self.now - first);
+        let c = self.run.firsts.entry(name).or_default();
+        match kind {
+            AnswerKind::Done => {
+                c.done += 1;
+                c.in_time += u64::from(took <= (slo.secs() * 1e6) as Us);
+                _ = c.times.record(took.max(1));
+            }
+            AnswerKind::Deferred => c.deferred += 1,
+            _ => c.abandoned += 1,
+        }
+    }
+
+    pub(super) fn arrive(&mut self, h: u32, last: Us) {
+        let gap = -(1.0 - self.chance.rand_float()).ln() / (self.w.rate * self.surge).max(0.01);
+        let next = self.now + (gap * 1e6) as Us + 1;
+        if next < last {
+            self.push(next, Event::Arrive(h));
+        }
+        if !self.hosts[h as usize].up || self.hosts[h as usize].stands > self.now {
+            return;
+        }
+        // The limited volume comes through the first hosts only, as it was told.
+        let mut lun = u32::from(h < self.w.limited_hosts.min(self.w.hosts) && self.chance.rand_float() < 0.4);
+        if let Some((part, busiest)) = self.busiest.filter(|_| lun == 1) {
+            // What would come through the others asks for the other volume meanwhile.
+            lun = u32::from(h == busiest || self.chance.rand_float() >= part);
+        }
+        let write = self.chance.rand_float() < 0.4;
+        let blocks = self.chance.rand_range(1..25) as u32;
+        let span = if write && lun == 0 { 640 } else { 50_000 };
+        let drawn = self.chance.rand_range(0..span);
+        let hot = self.hot > 0.0 && self.chance.rand_float() < self.hot;
+        let block = if hot { 0 } else { drawn };
+        // One that speaks a protocol, in its turn.
+        if !self.clients_of[h as usize].is_empty() {
+            let i = self.chance.rand_range(0..self.clients_of[h as usize].len() as u64 + 1) as usize;
+            if let Some(c) = self.clients_of[h as usize].get(i).copied() {
+                return self.call(c, write, block, blocks);
+            }
+        }
+        self.beside(h, lun, write, block, blocks);
+    }
+
+    /// A command that comes without a protocol.
+    pub(super) fn beside(&mut self, h: u32, lun: u32, write: bool, block: u64, blocks: u32) {
+        let host = &mut self.hosts[h as usize];
+        host.next += 1;
+        let command = host.next;
+        let life = host.life;
+        let work = match write {
+            true => Work::Write { data: data(blocks * 512) },
+            false => Work::Read { blocks },
+        };
+        self.submit(h, CommandRef { session: BESIDE, command }, lun, block, work, self.now, None);
+        if self.chance.rand_float() < self.leave {
+            let later = self.now + self.chance.rand_range(0..400_000);
+            self.push(later, Event::Leave(h, life, command));
+        }
+        self.pull(h);
+    }
+
+    /// A command reaches its host, which knows it from `began` on.
+    #[allow(clippy::too_many_arguments)] // as the host core has them
+    pub(super) fn submit(
+        &mut self,
+        h: u32,
+        from: CommandRef,
+        lun: u32,
+        block: u64,
+        work: Work,
+        began: Us,
+        asked: Option<Us>,
+    ) {
+        let (write, bytes) = match &work {
+            Work::Read { blocks } => (false, u64::from(*blocks) * 512),
+            Work::Write { data } => (true, data.len() as u64),
+        };
+        let (stream, _) = self.stream_of(lun, write, (bytes / 512) as u32);
+        let st = &self.settings[0].streams[stream];
+        let (slo, expiry) = ((st.slo.secs() * 1e6) as Us, (st.expiry.secs() * 1e6) as Us);
+        self.run.asked += 1;
+        let (session, command) = (from.session, from.command);
+        let host = &mut self.hosts[h as usize];
+        host.submitted.insert((session, command), (began, slo));
+        self.note(tackmast_trace::Event::Submit {
+            host: h,
+            session,
+            command,
+            volume: lun,
+            stream: stream as u32,
+            write,
+            offset: block * 512,
+            bytes,
+            expiry_us: asked.unwrap_or(expiry).saturating_sub(self.now - began),
+        });
+        let (now, began) = (self.time(h), self.time_at(h, began));
+        let asked = asked.map(|us| Span::from_secs(us as f64 / 1e6));
+        self.hosts[h as usize].core.submit(now, from, lun, block, work, began, asked);
+    }
+
+    pub(super) fn answer(&mut self, h: u32, to: CommandRef, verdict: Verdict) {
+        self.answers += 1;
+        let (kind, come_back_us) = match &verdict {
+            Verdict::Done { .. } => (0, 0),
+            Verdict::Deferred { come_back } => (1, come_back.map_or(0, |w| (w.secs() * 1e6) as u64)),
+            Verdict::Abandoned if self.mutant == Some(Mutant::DeferredLie) => (1, 0),
+            Verdict::Abandoned => (2, 0),
+        };
+        let life = self.hosts[h as usize].life;
+        let now = self.now;
+        let (session, command) = (to.session, to.command);
+        let odd = self.answers.is_multiple_of(50);
+        match self.mutant {
+            Some(Mutant::AnswerLost) if odd => return,
+            Some(Mutant::AnswerLate) if odd => {
+                let late = Event::Answer(h, life, (session, command), kind, come_back_us);
+                return self.push(now + 1_200_000, late);
+            }
+            Some(Mutant::AnswerTwice) if odd => {
+                self.note(tackmast_trace::Event::Answer {
+                    host: h,
+                    session,
+                    command,
+                    kind: AnswerKind::Deferred,
+                    come_back_us: 0,
+                });
+            }
+            _ => {}
+        }
+        // Commands without a protocol come from beside the host: what their way costs is no part of this model.
+        self.answered(h, life, (session, command), kind, come_back_us);
+        let Some((c, slot, slot_life)) = self.hosts[h as usize].sessions.get(&session).copied() else {
+            return;
+        };
+        let Some(pipe) = self.clients[c as usize].pipe_of(slot, slot_life) else { return };
+        pipe.session.answer(
+            command,
+            match verdict {
+                Verdict::Done { data } => target::Verdict::Done { data },
+                Verdict::Deferred { .. } => target::Verdict::Deferred { come_back_us },
+                Verdict::Abandoned => target::Verdict::Abandoned,
+            },
+        );
+        // What had to wait for this answer is read on from here.
+        if !pipe.session.is_paused() {
+            self.push(now, Event::ToServer(c, slot, slot_life, Vec::new()));
+        }
+        self.flush(c, slot, slot_life);
+    }
+
+    pub(super) fn answered(&mut self, h: u32, life: u64, of: CommandOrd, kind: u8, come_back_us: u64) {
+        let host = &mut self.hosts[h as usize];
+        if host.life != life {
+            return;
+        }
+        let Some((began, slo)) = host.submitted.remove(&of) else { return };
+        let kind = [AnswerKind::Done, AnswerKind::Deferred, AnswerKind::Abandoned][usize::from(kind)];
+        match kind {
+            AnswerKind::Done => {
+                self.run.done += 1;
+                self.run.in_time += u64::from(self.now - began <= slo);
+            }
+            AnswerKind::Deferred => self.run.deferred += 1,
+            _ => self.run.abandoned += 1,
+        }
+        let (session, command) = of;
+        self.note(tackmast_trace::Event::Answer { host: h, session, command, kind, come_back_us });
+        if let Some(number) = self.hosts[h as usize].asked.remove(&of) {
+            self.tried(number, kind, come_back_us);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/clients.rs
@@ -0,0 +1,213 @@
+//! Clients over both protocols, their connections and the targets at the other end.
+
+use super::*;
+
+impl Sim<'_> {
+    pub(super) fn add_clients(&mut self, h: u32) {
+        for (i, nbd) in [(0, false), (1, true)] {
+            for _ in 0..self.w.clients[i] {
+                let lun =
+                    u32::from(h < self.w.limited_hosts.min(self.w.hosts) && self.clients.len() % 3 == 1);
+                let target = self.settings[h as usize].host.target.clone();
+                let name = if lun == 1 { "school" } else { "museum" }.into();
+                let c = self.clients.len() as u32;
+                let seed = self.w.seed << 16 | u64::from(c);
+                self.clients.push(Client::new(at(self.now), h, nbd, Place { target, lun, name }, seed));
+                self.clients_of[h as usize].push(c);
+                self.push(self.now, Event::ClientTime(c));
+            }
+        }
+    }
+
+    pub(super) fn call(&mut self, c: u32, write: bool, block: u64, blocks: u32) {
+        let now = self.now;
+        let client = &mut self.clients[c as usize];
+        client.next += 1;
+        let (number, deadline) = (client.next, now + CALL);
+        let op = match write {
+            true => Op::Write { offset: block * 512, data: data(blocks * 512) },
+            false => Op::Read { offset: block * 512, length: blocks * 512 },
+        };
+        client.calls.insert(number, Call { deadline });
+        client.core.call(at(now), number, op, at(deadline));
+        self.run.calls += 1;
+        self.client_pull(c);
+    }
+
+    pub(super) fn client_pull(&mut self, c: u32) {
+        let now = self.now;
+        self.clients[c as usize].core.tick(at(now));
+        while let Some(o) = self.clients[c as usize].core.next_output() {
+            match o {
+                ClientOutput::Connect { slot } => {
+                    self.number += 1;
+                    let life = self.number;
+                    self.clients[c as usize].slots[slot].life = life;
+                    self.push(now + 2 * self.w.delay_us, Event::Connected(c, slot, life));
+                }
+                ClientOutput::Write { slot, bytes } => {
+                    let life = self.clients[c as usize].slots[slot].life;
+                    self.carry(c, slot, life, &bytes, true);
+                }
+                ClientOutput::Close { slot } => {
+                    let life = std::mem::take(&mut self.clients[c as usize].slots[slot].life);
+                    self.drop_pipe(c, slot, life);
+                }
+                ClientOutput::Answer { call, outcome } => {
+                    let Some(x) = self.clients[c as usize].calls.remove(&call) else { continue };
+                    self.run.calls_done += u64::from(matches!(outcome, CallOutcome::Done(_)));
+                    self.run.calls_late += u64::from(now > x.deadline + 1000);
+                }
+                ClientOutput::Ready(_) | ClientOutput::Refused(_) => {}
+            }
+        }
+        let client = &mut self.clients[c as usize];
+        if let Some(t) = client.core.next_wake(at(now)).map(us).filter(|t| *t < client.wake) {
+            client.wake = t.max(now + 1);
+            let t = client.wake;
+            self.push(t, Event::ClientTime(c));
+        }
+    }
+
+    /// Bytes of a client's connection go on their way, cut where it happens.
+    pub(super) fn carry(&mut self, c: u32, slot: usize, life: u64, bytes: &[u8], up: bool) {
+        let cut = self.chance.rand_range(0..bytes.len() as u64 + 1) as usize;
+        let parts = [&bytes[..cut], &bytes[cut..]];
+        for part in parts.into_iter().filter(|p| !p.is_empty()) {
+            let jitter = if self.w.jitter_us > 0 { self.chance.rand_range(0..self.w.jitter_us) } else { 0 };
+            let t = self.now + self.w.delay_us + jitter;
+            let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) else { return };
+            let last = &mut pipe.last[usize::from(!up)];
+            *last = t.max(*last + 1);
+            let (t, bytes) = (*last, part.to_vec());
+            self.push(
+                t,
+                if up {
+                    Event::ToServer(c, slot, life, bytes)
+                } else {
+                    Event::ToClient(c, slot, life, bytes)
+                },
+            );
+        }
+    }
+
+    pub(super) fn connected(&mut self, c: u32, slot: usize, life: u64) {
+        let client = &mut self.clients[c as usize];
+        if client.slots[slot].life != life {
+            return;
+        }
+        let h = client.host;
+        let host = &mut self.hosts[h as usize];
+        if !host.up {
+            client.slots[slot].life = 0;
+            client.core.closed(at(self.now), slot);
+            return self.client_pull(c);
+        }
+        host.numbers += 1;
+        let number = host.numbers;
+        host.sessions.insert(u32::from(number), (c, slot, life));
+        let pipe = client.pipe(&self.offer, &self.units, number);
+        client.slots[slot].pipe = Some(pipe);
+        client.core.connected(slot);
+        self.flush(c, slot, life);
+        self.client_pull(c);
+    }
+
+    /// The connection is at its end for the client.
+    pub(super) fn closed(&mut self, c: u32, slot: usize, life: u64) {
+        if self.clients[c as usize].slots[slot].life != life {
+            return;
+        }
+        self.clients[c as usize].slots[slot].life = 0;
+        self.drop_pipe(c, slot, life);
+        self.clients[c as usize].core.closed(at(self.now), slot);
+        self.client_pull(c);
+    }
+
+    /// The connection is at its end for the host: what it had open has nobody who waits.
+    pub(super) fn drop_pipe(&mut self, c: u32, slot: usize, life: u64) {
+        let Some(pipe) = self.clients[c as usize].slots[slot].pipe.take() else { return };
+        let h = self.clients[c as usize].host;
+        let host = &mut self.hosts[h as usize];
+        if host.sessions.get(&pipe.number) != Some(&(c, slot, life)) {
+            return;
+        }
+        host.sessions.remove(&pipe.number);
+        let session = pipe.number;
+        let open: Vec<u32> =
+            host.submitted.range((session, 0)..(session + 1, 0)).map(|((_, c), _)| *c).collect();
+        for command in open {
+            self.hosts[h as usize].submitted.remove(&(session, command));
+            self.note(tackmast_trace::Event::Left { host: h, session, command });
+        }
+        let now = self.time(h);
+        self.hosts[h as usize].core.session_gone(now, session);
+        self.pull(h);
+    }
+
+    pub(super) fn server_gets(&mut self, c: u32, slot: usize, life: u64, bytes: &[u8]) {
+        let (h, now) = (self.clients[c as usize].host, self.now);
+        let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) else { return };
+        let failed = pipe.session.take(bytes).is_err();
+        let session = pipe.number;
+        let mut events = Vec::new();
+        while let Some(e) = pipe.session.next_event() {
+            events.push(e);
+        }
+        for e in events {
+            match e {
+                target::Event::Begun { command } => {
+                    if let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) {
+                        pipe.began.insert(command, now);
+                    }
+                }
+                target::Event::Submit { command, lun, block, work, expiry_ms } => {
+                    let pipe = self.clients[c as usize].pipe_of(slot, life);
+                    let began = pipe.and_then(|p| p.began.remove(&command)).unwrap_or(now);
+                    let work = match work {
+                        target::Work::Read { blocks } => Work::Read { blocks },
+                        target::Work::Write { data } => Work::Write { data },
+                    };
+                    let asked = expiry_ms.map(|ms| u64::from(ms) * 1000);
+                    self.submit(h, CommandRef { session, command }, lun, block, work, began, asked);
+                }
+                target::Event::Abort { command } => {
+                    if self.hosts[h as usize].submitted.remove(&(session, command)).is_some() {
+                        self.note(tackmast_trace::Event::Left { host: h, session, command });
+                    }
+                    let at_host = self.time(h);
+                    self.hosts[h as usize].core.abort(at_host, CommandRef { session, command });
+                }
+                target::Event::Close(_) | target::Event::Note(_) => {}
+            }
+        }
+        self.flush(c, slot, life);
+        self.pull(h);
+        let over = self.clients[c as usize].pipe_of(slot, life).is_some_and(|p| p.session.is_over());
+        if failed || over {
+            self.drop_pipe(c, slot, life);
+            self.push(now + self.w.delay_us, Event::Closed(c, slot, life));
+        }
+    }
+
+    /// What a session has to say goes on its way.
+    pub(super) fn flush(&mut self, c: u32, slot: usize, life: u64) {
+        let Some(pipe) = self.clients[c as usize].pipe_of(slot, life) else { return };
+        let bytes = pipe.session.output();
+        if !bytes.is_empty() {
+            self.carry(c, slot, life, &bytes, false);
+        }
+    }
+
+    /// A part of all connections ends at once, at both sides.
+    pub(super) fn hang_up(&mut self, part: f64) {
+        for c in 0..self.clients.len() as u32 {
+            for slot in 0..self.clients[c as usize].slots.len() {
+                let life = self.clients[c as usize].slots[slot].life;
+                if life > 0 && self.chance.rand_float() < part {
+                    self.closed(c, slot, life);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/hosts.rs
@@ -0,0 +1,172 @@
+//! Hosts: started, stopped, standing still, leaving, and the datagrams between them.
+
+use super::*;
+
+impl Sim<'_> {
+    pub(super) fn new_host(&mut self, h: u32) -> Host {
+        self.lives += 1;
+        let seed = self.w.seed ^ self.lives << 20;
+        let now = self.time(h);
+        let mut core = heart(now, &self.settings[h as usize], seed, self.lives, self.plain);
+        let wall = self.wall(h);
+        let kept = &mut self.kept[h as usize];
+        if let Some(core) = core.core().filter(|_| self.w.has_orders()) {
+            let records = kept.overrides.values().cloned().collect();
+            let (overrides, ended) = Overrides::new(now, wall, ORDERS, records, kept.next);
+            ended.iter().for_each(|e| _ = kept.overrides.remove(&e.record.id));
+            core.wall_seen(now, wall);
+            core.with_overrides(now, overrides, Keep::default());
+        }
+        if let Some((core, b)) = core.core().zip(self.settings[h as usize].plans_live.as_ref()) {
+            let trail: Vec<u8> = kept.changes.values().flatten().copied().collect();
+            let plans = Plans::new(now, &self.settings[h as usize], b, &trail)
+                .unwrap_or_else(|e| panic!("a trail that the lab kept: {e}"));
+            core.with_plans(now, plans, trail.is_empty());
+        }
+        if let Some(core) = core.core().filter(|_| self.w.members.is_some()) {
+            let s = &self.settings[h as usize];
+            let address = peer_address(h);
+            let member = member_settings(s, &MEMBERS, address, self.lives, kept.left, seed);
+            core.with_fellows(now, Fellows::new(now, member));
+        }
+        Host {
+            core,
+            life: self.lives,
+            up: true,
+            wake: Us::MAX,
+            stands: 0,
+            links: BTreeMap::new(),
+            following: false,
+            next: 0,
+            submitted: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            numbers: BESIDE as u16,
+        }
+    }
+
+    /// Carries out what the core wants done.
+    pub(super) fn pull(&mut self, h: u32) {
+        if !self.hosts[h as usize].up || self.hosts[h as usize].stands > self.now {
+            return;
+        }
+        let now = self.time(h);
+        self.hosts[h as usize].core.tick(now);
+        while let Some(o) = self.hosts[h as usize].core.next_output(now) {
+            match o {
+                Output::Send(leg) => self.send(h, *leg),
+                Output::Cancel { node, leg } | Output::Cut { node, leg } => {
+                    let cancel = Frame::Cancel { leg: leg.0 }.to_bytes();
+                    self.pass_on(h, node.0, &cancel, true);
+                }
+                Output::Answer { to, verdict } => self.answer(h, to, verdict),
+                Output::FollowList { .. } | Output::FetchList => self.follow(h),
+                Output::Keep { request, keep } => self.keep(h, request, keep),
+                Output::Reply { reply, .. } => self.ordered(h, reply),
+                Output::Datagram { to, bytes } => self.post(h, to, &bytes),
+                Output::Mode { .. } => {}
+            }
+        }
+        if let Some(core) = self.hosts[h as usize].core.core().filter(|_| self.w.members.is_some()) {
+            if core.is_free(now) && !core.is_leaving() {
+                self.kept[h as usize].left = false;
+            }
+        }
+        let host = &mut self.hosts[h as usize];
+        let open = host.core.open();
+        let most = &mut self.run.most_open;
+        *most = (most.0.max(open.0), most.1.max(open.1), most.2.max(open.2));
+        let wake = host.core.next_wake(now);
+        let wake = wake.map(|t| self.when(h, t));
+        let host = &mut self.hosts[h as usize];
+        if let Some(t) = wake.filter(|t| *t < host.wake) {
+            host.wake = t.max(self.now + 1);
+            let t = host.wake;
+            self.push(t, Event::HostTime(h));
+        }
+    }
+
+    /// The process is stopped. Its clients give up on what is open, and it hears so when it goes on.
+    pub(super) fn host_stands(&mut self, h: u32, for_us: Us) {
+        let host = &mut self.hosts[h as usize];
+        if !host.up || host.stands > self.now {
+            return;
+        }
+        host.stands = self.now + for_us;
+        let slots: Vec<(u32, usize, u64)> = host.sessions.values().copied().collect();
+        let open = std::mem::take(&mut host.submitted);
+        host.asked.clear();
+        for (session, command) in open.into_keys() {
+            self.note(tackmast_trace::Event::Left { host: h, session, command });
+        }
+        for (c, slot, life) in slots {
+            self.closed(c, slot, life);
+        }
+        let now = self.time(h);
+        self.hosts[h as usize].core.session_gone(now, BESIDE);
+        self.push(self.now + for_us, Event::HostTime(h));
+    }
+
+    /// Nothing new is taken; what is open has half a second, and then what it has of limits goes to others.
+    pub(super) fn host_leaves(&mut self, h: u32) {
+        let (now, life) = (self.time(h), self.hosts[h as usize].life);
+        if !self.hosts[h as usize].up || self.plain.is_some() {
+            return;
+        }
+        self.kept[h as usize].left = self.w.members.is_some();
+        if let Some(core) = self.hosts[h as usize].core.core() {
+            core.drain();
+            core.leave(now);
+        }
+        self.pull(h);
+        self.push(self.now + 500_000, Event::Gone(h, life));
+    }
+
+    /// A datagram goes on its way, or is lost, or comes twice.
+    pub(super) fn post(&mut self, from: u32, to: std::net::SocketAddr, bytes: &Bytes) {
+        let Some(h) = (0..self.w.hosts).find(|h| peer_address(*h) == to) else { return };
+        let loss = self.w.members.unwrap_or(0.0);
+        let apart = |x: f64| {
+            let edge = (x * f64::from(self.w.hosts)) as u32;
+            (from < edge) != (h < edge)
+        };
+        if self.split.is_some_and(apart) {
+            return;
+        }
+        let copies = match self.chance.rand_float() {
+            x if x < loss => 0,
+            x if x > 1.0 - loss / 4.0 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let jitter = if loss > 0.0 { self.chance.rand_range(0..300_000) } else { 0 };
+            self.push(self.now + self.w.delay_us + jitter, Event::Datagram(from, h, bytes.to_vec()));
+        }
+    }
+
+    pub(super) fn host_kill(&mut self, h: u32, on: bool) {
+        let host = &mut self.hosts[h as usize];
+        if !on {
+            return self.push(self.now, Event::HostUp(h));
+        }
+        if !host.up {
+            return;
+        }
+        host.up = false;
+        host.following = false;
+        host.submitted.clear();
+        host.asked.clear();
+        let sessions = std::mem::take(&mut host.sessions);
+        let (life, links) = (host.life, std::mem::take(&mut host.links));
+        for (n, l) in links {
+            let node = self.nodes[n as usize].address.clone();
+            let legs = l.legs.values().copied().collect();
+            self.note(tackmast_trace::Event::LinkDown { node, host: h, life, legs });
+        }
+        self.note(tackmast_trace::Event::HostDown { host: h });
+        for (c, slot, slot_life) in sessions.into_values() {
+            self.clients[c as usize].slots[slot].pipe = None;
+            self.push(self.now + self.w.delay_us, Event::Closed(c, slot, slot_life));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/links.rs
@@ -0,0 +1,237 @@
+//! Links between hosts and nodes, and the legs on them.
+
+use super::*;
+
+impl Sim<'_> {
+    pub(super) fn send(&mut self, h: u32, leg: SendLeg) {
+        self.sends += 1;
+        let n = self.node_of(h, leg.node.0);
+        let life = self.hosts[h as usize].life;
+        let Some(n) = n.filter(|n| self.nodes[*n as usize].up) else {
+            // Nobody listens: the host hears so after a round trip.
+            let t = self.now + 2 * self.w.delay_us;
+            leg.ticket.withdraw();
+            return self.push(t, Event::Refused(h, life, leg.leg.0));
+        };
+        self.open_link(h, n);
+        if let Some(waiting) = self.hosts[h as usize].links.get_mut(&n).and_then(|l| l.waiting.as_mut()) {
+            return waiting.push(leg);
+        }
+        self.transmit(h, n, &leg);
+    }
+
+    /// A leg leaves its host, unless it was taken back.
+    pub(super) fn transmit(&mut self, h: u32, n: u32, leg: &SendLeg) {
+        let life = self.hosts[h as usize].life;
+        let now = self.time(h);
+        let left = ((leg.until - now).secs() * 1e6).max(0.0) as Us;
+        if !leg.ticket.claim() {
+            return;
+        }
+        leg.ticket.written();
+        let name = LegName { host: h, life, xfer: leg.xfer, leg: leg.leg_no };
+        let frame = |leg_no: u8| {
+            Frame::Send(node::SendLeg {
+                leg: leg.leg.0,
+                xfer: leg.xfer,
+                leg_no,
+                origin: Origin { session: leg.from.session, command: leg.from.command, part: leg.part },
+                sent_us: us(now),
+                left_us: left as u32,
+                mark: leg.mark,
+                key: leg.key,
+                volume: leg.volume,
+                offset: leg.offset,
+                units: leg.units as f32,
+                work: match &leg.work {
+                    LegWork::Read { length } => node::Work::Read { length: *length },
+                    LegWork::Write { data } | LegWork::Request(Request { body: data, .. }) => {
+                        node::Work::Write { data: data.clone() }
+                    }
+                },
+            })
+            .to_bytes()
+        };
+        // A leg counts from when its host sends it: what the network holds back after that is no fault of its.
+        let (write, length) = match &leg.work {
+            LegWork::Read { length } => (false, u64::from(*length)),
+            LegWork::Write { data } | LegWork::Request(Request { body: data, .. }) => {
+                (true, data.len() as u64)
+            }
+        };
+        let address = self.nodes[n as usize].address.clone();
+        let seen = |leg_no: u8| tackmast_trace::Event::Leg {
+            node: address.clone(),
+            name: LegName { leg: leg_no, ..name },
+            session: leg.from.session,
+            command: leg.from.command,
+            part: leg.part,
+            volume: leg.volume,
+            write,
+            offset: leg.offset,
+            bytes: length,
+            units: leg.units,
+            key: leg.key,
+            mark: format!("{:x}", leg.mark),
+            left_us: left,
+        };
+        let (first, second) = (seen(leg.leg_no), seen(leg.leg_no + 1));
+        let bytes = frame(leg.leg_no);
+        let twice = (self.mutant == Some(Mutant::SecondLegEarly) && self.sends.is_multiple_of(100))
+            .then(|| frame(leg.leg_no + 1));
+        self.note(first);
+        if twice.is_some() {
+            self.note(second);
+        }
+        if let Some(l) = self.hosts[h as usize].links.get_mut(&n) {
+            l.legs.insert(leg.leg.0, name);
+        }
+        self.pass(h, n, &bytes, true);
+        if let Some(again) = twice {
+            self.pass(h, n, &again, true);
+        }
+    }
+
+    /// The core's number of a node to the lab's.
+    pub(super) fn node_of(&self, h: u32, number: u32) -> Option<u32> {
+        let core = &self.hosts[h as usize].core;
+        let address = core.nodes().address(tackmast::interface::NodeId(number))?;
+        self.nodes.iter().position(|n| n.address == address).map(|n| n as u32)
+    }
+
+    pub(super) fn pass_on(&mut self, h: u32, number: u32, bytes: &Bytes, to_node: bool) {
+        if let Some(n) = self.node_of(h, number) {
+            if self.hosts[h as usize].links.contains_key(&n) {
+                self.pass(h, n, bytes, to_node);
+            }
+        }
+    }
+
+    pub(super) fn open_link(&mut self, h: u32, n: u32) {
+        self.number += 1;
+        let life = self.number;
+        // As the hello at the start of the link shows it.
+        let offset = self.now as i64 - us(self.time(h)) as i64 + self.w.delay_us as i64;
+        let new = || Link {
+            life,
+            to_node: node::frames(1 << 20),
+            to_host: node::frames(1 << 20),
+            last: [0; 2],
+            offset,
+            waiting: Some(Vec::new()),
+            legs: BTreeMap::new(),
+        };
+        let links = &mut self.hosts[h as usize].links;
+        if let std::collections::btree_map::Entry::Vacant(place) = links.entry(n) {
+            place.insert(new());
+            let (host_life, started) = (self.hosts[h as usize].life, self.nodes[n as usize].started);
+            let held_until = self.partitions.get(&(h, n)).copied().unwrap_or(0);
+            let t = self.now.max(held_until) + 2 * self.w.delay_us;
+            self.push(t, Event::Hello(h, host_life, n, started));
+        }
+    }
+
+    /// Bytes go on their way, cut where it happens; each direction keeps its order.
+    pub(super) fn pass(&mut self, h: u32, n: u32, bytes: &Bytes, to_node: bool) {
+        let held_until = self.partitions.get(&(h, n)).copied().unwrap_or(0);
+        let cut = self.chance.rand_range(0..bytes.len() as u64 + 1) as usize;
+        let parts = if self.chance.rand_float() < 0.1 {
+            vec![&bytes[..cut], &bytes[cut..]]
+        } else {
+            vec![&bytes[..]]
+        };
+        for part in parts.into_iter().filter(|p| !p.is_empty()) {
+            let jitter = if self.w.jitter_us > 0 { self.chance.rand_range(0..self.w.jitter_us) } else { 0 };
+            let Some(l) = self.hosts[h as usize].links.get_mut(&n) else { return };
+            let t =
+                (self.now.max(held_until) + self.w.delay_us + jitter).max(l.last[usize::from(to_node)] + 1);
+            l.last[usize::from(to_node)] = t;
+            let life = l.life;
+            let bytes = part.to_vec();
+            self.push(
+                t,
+                if to_node { Event::ToNode(h, n, life, bytes) } else { Event::ToHost(h, n, life, bytes) },
+            );
+        }
+    }
+
+    pub(super) fn host_gets(&mut self, h: u32, n: u32, life: u64, bytes: &[u8]) {
+        if !self.hosts[h as usize].up {
+            return;
+        }
+        let Some(l) = self.hosts[h as usize].links.get_mut(&n).filter(|l| l.life == life) else { return };
+        l.to_host.push(bytes);
+        let mut backs = Vec::new();
+        while let Ok(Some(f)) = node::next(&mut l.to_host) {
+            if let Frame::Answer(a) = f {
+                if l.legs.remove(&a.leg).is_some() {
+                    backs.push(a);
+                }
+            }
+        }
+        let now = self.time(h);
+        for a in backs {
+            let outcome = match a.outcome {
+                NodeOutcome::Done => Outcome::Done,
+                NodeOutcome::Error => Outcome::Error,
+                NodeOutcome::Full => Outcome::Full,
+                NodeOutcome::NotHere => Outcome::Skipped,
+            };
+            let (waiting, elsewhere) = (Some(a.waiting), Some(f64::from(a.elsewhere)));
+            let back = LegBack { leg: LegId(a.leg), outcome, waiting, elsewhere, data: a.data };
+            self.hosts[h as usize].core.leg_back(now, back);
+        }
+        self.pull(h);
+    }
+
+    pub(super) fn back(&mut self, h: u32, leg: u64, outcome: Outcome) {
+        let back = LegBack { leg: LegId(leg), outcome, waiting: None, elsewhere: None, data: Bytes::new() };
+        let now = self.time(h);
+        self.hosts[h as usize].core.leg_back(now, back);
+    }
+
+    /// A link ends for both sides: its legs may have run.
+    pub(super) fn link_down(&mut self, h: u32, n: u32, life: u64) {
+        let host = &mut self.hosts[h as usize];
+        if host.links.get(&n).is_none_or(|l| l.life != life) {
+            return;
+        }
+        let Some(l) = host.links.remove(&n) else { return };
+        let (node, life) = (self.nodes[n as usize].address.clone(), host.life);
+        let legs: Vec<LegName> = l.legs.values().copied().collect();
+        self.note(tackmast_trace::Event::LinkDown { node, host: h, life, legs });
+        for leg in l.legs.keys() {
+            self.back(h, *leg, Outcome::Reset);
+        }
+        for leg in l.waiting.into_iter().flatten().filter(|leg| leg.ticket.withdraw()) {
+            self.back(h, leg.leg.0, Outcome::Refused);
+        }
+        self.pull(h);
+    }
+
+    pub(super) fn all_links_down(&mut self, n: u32) {
+        for h in 0..self.w.hosts {
+            if let Some(life) = self.hosts[h as usize].links.get(&n).map(|l| l.life) {
+                self.link_down(h, n, life);
+            }
+        }
+    }
+
+    pub(super) fn hello(&mut self, h: u32, life: u64, n: u32, started: Us) {
+        let node = &self.nodes[n as usize];
+        let host = &self.hosts[h as usize];
+        if host.life != life || !host.up || node.started != started || !host.links.contains_key(&n) {
+            return;
+        }
+        // One that was up when time began has been so for long.
+        let up = if started == 0 { 86_400.0 } else { (self.now - started) as f64 / 1e6 };
+        let (now, number) = (self.time(h), host.core.nodes().number(&node.address));
+        if let Some((core, number)) = self.hosts[h as usize].core.core().zip(number) {
+            core.node_said_up(now, number, Span::from_secs(up));
+        }
+        self.pull(h);
+        // What the core has not taken back now leaves.
+        let waiting = self.hosts[h as usize].links.get_mut(&n).and_then(|l| l.waiting.take());
+        waiting.into_iter().flatten().for_each(|leg| self.transmit(h, n, &leg));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/nodes.rs
@@ -0,0 +1,262 @@
+//! Nodes, the legs they hold, and the list of them.
+
+use super::*;
+
+impl Sim<'_> {
+    pub(super) fn note_node_up(&mut self, n: usize, cold_from: f64) {
+        let node = &self.nodes[n];
+        let (address, capacity) = (node.address.clone(), node.model.capacity());
+        let warm_us = if cold_from < 1.0 { (node.model.nature.warm_s * 1e6) as Us } else { 0 };
+        let (zone, shard) = (node.zone, node.shard);
+        self.note(tackmast_trace::Event::NodeUp { node: address, zone, shard, capacity, cold_from, warm_us });
+    }
+
+    pub(super) fn node_gets(&mut self, h: u32, n: u32, life: u64, bytes: &[u8]) {
+        let Some(l) = self.hosts[h as usize].links.get_mut(&n).filter(|l| l.life == life) else { return };
+        l.to_node.push(bytes);
+        let mut frames = Vec::new();
+        while let Ok(Some(f)) = node::next(&mut l.to_node) {
+            frames.push(f);
+        }
+        for f in frames {
+            match f {
+                Frame::Send(leg) => self.leg_arrives(h, n, life, leg),
+                Frame::Cancel { leg } => {
+                    let node = &mut self.nodes[n as usize];
+                    let found = node.held.iter().find(|(_, x)| x.link == life && x.leg == leg);
+                    if let Some((id, name)) = found.map(|(id, x)| (*id, x.name)) {
+                        let address = node.address.clone();
+                        if !node.silent {
+                            node.model.cancel(self.now, id);
+                        }
+                        self.note(tackmast_trace::Event::Cancel { node: address, name });
+                        self.settle(n);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn leg_arrives(&mut self, h: u32, n: u32, link: u64, leg: node::SendLeg) {
+        let life = self.hosts[h as usize].life;
+        let name = LegName { host: h, life, xfer: leg.xfer, leg: leg.leg_no };
+        let (write, bytes) = match &leg.work {
+            node::Work::Read { length } => (false, u64::from(*length)),
+            node::Work::Write { data } => (true, data.len() as u64),
+        };
+        let now = self.now;
+        let node = &mut self.nodes[n as usize];
+        if !node.up {
+            return;
+        }
+        node.next += 1;
+        let id = node.next;
+        let read = if write { 0 } else { bytes as u32 };
+        let units = f64::from(leg.units);
+        let held =
+            Held { host: h, life, link, leg: leg.leg, name, volume: leg.volume, units, read, mark: leg.mark };
+        if !node.silent {
+            node.held.insert(id, held);
+            let link = self.hosts[h as usize].links.get_mut(&n);
+            let offset = link.map_or(0, |l| {
+                l.offset = l.offset.min(now as i64 - leg.sent_us as i64);
+                l.offset
+            });
+            let until = (leg.sent_us as i64 + offset).max(0) as Us + u64::from(leg.left_us);
+            let node = &mut self.nodes[n as usize];
+            // The piece of data, as the stand-in nodes on loopback tell it.
+            let key = leg.key ^ leg.offset << 8;
+            let job = Job { id, units, write, key, further: leg.leg_no > 0, until };
+            node.model.arrive(now, job);
+        }
+        self.settle(n);
+    }
+
+    /// Answers of what has ended at a node, and its next time.
+    pub(super) fn settle(&mut self, n: u32) {
+        let now = self.now;
+        let node = &mut self.nodes[n as usize];
+        if !node.up || node.silent {
+            return;
+        }
+        node.model.advance(now);
+        let ended = node.model.ended();
+        for (id, how) in ended {
+            let node = &mut self.nodes[n as usize];
+            let Some(x) = node.held.remove(&id) else { continue };
+            let (outcome, kind) = match how {
+                How::Done => (NodeOutcome::Done, LegEndKind::Done),
+                How::Error => (NodeOutcome::Error, LegEndKind::Error),
+                How::NeverRan => (NodeOutcome::Full, LegEndKind::NeverRan),
+            };
+            let own = node.served.entry((x.volume, x.host)).or_default();
+            if how == How::Done {
+                own.0 += x.units;
+                *node.total.entry(x.volume).or_default() += x.units;
+            }
+            let others = node.total.get(&x.volume).copied().unwrap_or(0.0) - own.0;
+            let elsewhere = (others - own.1).max(0.0) as f32;
+            own.1 = others;
+            let data = if how == How::Done { Bytes::from(vec![0; x.read as usize]) } else { Bytes::new() };
+            if node.told.0 == 0 || now >= node.told.0 + node.report_us {
+                node.told = (now, node.model.waiting() as u32);
+            }
+            let (waiting, address, zone) = (node.told.1, node.address.clone(), node.zone);
+            let ran = how == How::Done && self.first_run(zone, x.mark);
+            self.note(tackmast_trace::Event::LegEnd { node: address, name: x.name, kind, ran });
+            let answer = Frame::Answer(Answer { leg: x.leg, outcome, waiting, elsewhere, data }).to_bytes();
+            let host = &self.hosts[x.host as usize];
+            if host.life == x.life && host.links.get(&n).is_some_and(|l| l.life == x.link) {
+                self.pass(x.host, n, &answer, false);
+            }
+        }
+        let node = &mut self.nodes[n as usize];
+        if let Some(t) = node.model.next_time().filter(|t| *t < node.wake) {
+            node.wake = t.max(now + 1);
+            let t = node.wake;
+            self.push(t, Event::NodeTime(n));
+        }
+    }
+
+    /// Whether a mark runs for the first time within its window; a repeat is dropped.
+    pub(super) fn first_run(&mut self, zone: u32, mark: u128) -> bool {
+        if mark == 0 {
+            return true;
+        }
+        let known = self.marks.insert((zone, mark), self.now);
+        known.is_none_or(|t| t + self.window_us < self.now)
+    }
+
+    pub(super) fn follow(&mut self, h: u32) {
+        let life = self.hosts[h as usize].life;
+        let t = self.now + 2 * self.w.delay_us;
+        if self.list_fails {
+            return self.push(t, Event::ListFailed(h, life));
+        }
+        self.hosts[h as usize].following = true;
+        let (version, entries) = self.entries();
+        self.push(t, Event::List(h, life, version, entries));
+    }
+
+    pub(super) fn entries(&self) -> (u64, Vec<(String, u8, u32, u64)>) {
+        let entry = |(i, n): (usize, &SimNode)| {
+            let state = match n.listed {
+                NodeState::Ready => 0,
+                NodeState::Draining => 1,
+                NodeState::Gone => 2,
+            };
+            (n.address.clone(), state, i as u32, n.listed_start)
+        };
+        let listed = self.nodes.iter().enumerate().filter(|(_, n)| n.listed != NodeState::Gone);
+        (self.list_version, listed.map(entry).collect())
+    }
+
+    /// The list has changed: all that follow hear of it, late.
+    pub(super) fn tell(&mut self) {
+        self.list_version += 1;
+        if self.list_fails {
+            return;
+        }
+        let (version, entries) = self.entries();
+        for h in 0..self.w.hosts {
+            if self.hosts[h as usize].following {
+                let life = self.hosts[h as usize].life;
+                let jitter = self.chance.rand_range(0..50_000);
+                let t = self.now + self.list_late + jitter;
+                self.push(t, Event::List(h, life, version, entries.clone()));
+            }
+        }
+    }
+
+    pub(super) fn list(&mut self, h: u32, life: u64, version: u64, entries: &[(String, u8, u32, u64)]) {
+        if self.hosts[h as usize].life != life || !self.hosts[h as usize].up {
+            return;
+        }
+        let mut lines = Vec::new();
+        for (address, state, i, started) in entries {
+            let state = [NodeState::Ready, NodeState::Draining, NodeState::Gone][usize::from(*state)];
+            let told = match state {
+                NodeState::Ready => ListedState::Ready,
+                NodeState::Draining => ListedState::Draining,
+                NodeState::Gone => ListedState::Gone,
+            };
+            let started_us = *started;
+            self.note(tackmast_trace::Event::Told {
+                host: h,
+                node: address.clone(),
+                state: told,
+                started_us,
+            });
+            let ignored = self.mutant == Some(Mutant::GraceIgnored);
+            let cold = (started_us > 0 && self.mutant != Some(Mutant::ColdIgnored)).then(|| {
+                // By the list's clock, or by this host's wall clock, right or wrong.
+                let shown = if self.w.timed_list { self.now - self.w.delay_us } else { self.wall(h) };
+                let age = Span::from_secs((shown as f64 - started_us as f64) / 1e6);
+                let age = if self.w.timed_list { Age::Told(age) } else { Age::ByWall(age) };
+                Start { name: started_us, age }
+            });
+            lines.push(ListEntry {
+                id: address.clone(),
+                address: address.clone(),
+                state: if ignored { NodeState::Ready } else { state },
+                zone: ZoneId(self.nodes[*i as usize].zone),
+                shard: ShardId(self.nodes[*i as usize].shard),
+                start: cold,
+            });
+        }
+        // What the list no longer names is gone.
+        let known: BTreeSet<&String> = entries.iter().map(|e| &e.0).collect();
+        let core = &self.hosts[h as usize].core;
+        let gone: Vec<String> = core
+            .nodes()
+            .entries()
+            .filter(|(a, e)| e.state != NodeState::Gone && !known.contains(&(*a).to_owned()))
+            .map(|(a, _)| a.to_owned())
+            .collect();
+        for node in gone {
+            self.note(tackmast_trace::Event::Told { host: h, node, state: ListedState::Gone, started_us: 0 });
+        }
+        let now = self.time(h);
+        self.hosts[h as usize].core.list_came(now, ListKind::Complete, 0, version, &lines);
+        self.pull(h);
+    }
+
+    pub(super) fn node_dies(&mut self, n: u32) {
+        let node = &mut self.nodes[n as usize];
+        if !node.up {
+            return;
+        }
+        node.up = false;
+        node.held.clear();
+        let address = node.address.clone();
+        self.note(tackmast_trace::Event::NodeDown { node: address });
+        self.all_links_down(n);
+    }
+
+    pub(super) fn node_up(&mut self, n: u32) {
+        let now = self.now;
+        let node = &mut self.nodes[n as usize];
+        if node.up {
+            return;
+        }
+        let ills = node.model.ills.clone();
+        node.model = Model::new(now, node.model.nature.clone(), self.w.seed ^ now, true);
+        node.model.ills = ills;
+        (node.up, node.silent, node.started, node.wake) = (true, false, now, Us::MAX);
+        node.served.clear();
+        node.total.clear();
+        (node.listed, node.listed_start) = (NodeState::Ready, now);
+        let from = self.nodes[n as usize].model.nature.cold_from;
+        self.note_node_up(n as usize, from);
+        self.tell();
+    }
+
+    pub(super) fn set(&mut self, n: u32, change: impl Fn(&mut Ills)) {
+        let now = self.now;
+        let model = &mut self.nodes[n as usize].model;
+        model.advance(now);
+        change(&mut model.ills);
+        self.settle(n);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/orders.rs
@@ -0,0 +1,116 @@
+//! Operators: orders, what is kept of them, and plans that move.
+
+use super::*;
+
+impl Sim<'_> {
+    /// An order at one host or at all.
+    pub(super) fn order(&mut self, host: Option<u32>, n: u32, kind: OrderKind, for_us: Us) {
+        let Ok(address) = self.nodes[n as usize].address.parse() else { return };
+        let (reason, who, seconds) = ("drawn".into(), "lab".into(), for_us as f64 / 1e6);
+        let order = Order { target: Target::Node(address), kind, reason, who, seconds, origin: None };
+        for h in (0..self.w.hosts).filter(|h| host.is_none_or(|x| x == *h)) {
+            if !self.hosts[h as usize].up || self.hosts[h as usize].stands > self.now {
+                continue;
+            }
+            let (now, order) = (self.time(h), order.clone());
+            // Each shard has one node here: taking it out of service needs force.
+            let ask = Ask::Set { order, force: true, dry_run: false, if_version: None };
+            if let Some(core) = self.hosts[h as usize].core.core() {
+                core.ask(now, 1, ask);
+            }
+            self.pull(h);
+        }
+    }
+
+    /// The host's store takes all it is given.
+    pub(super) fn keep(&mut self, h: u32, request: u64, keep: Keep) {
+        let kept = &mut self.kept[h as usize];
+        for o in keep.put {
+            kept.next = kept.next.max(o.id.0 + 1);
+            kept.overrides.insert(o.id, o);
+        }
+        keep.remove.iter().for_each(|id| _ = kept.overrides.remove(id));
+        for (number, line) in keep.changes {
+            kept.changes.insert(number, line);
+            self.went.entry(number).or_default().entry(h).or_insert(self.now);
+        }
+        let now = self.time(h);
+        if let Some(core) = self.hosts[h as usize].core.core().filter(|_| request > 0) {
+            core.kept(now, request, Ok(()));
+        }
+    }
+
+    pub(super) fn ordered(&mut self, host: u32, reply: Reply) {
+        match reply {
+            Reply::Set { record, preview, dry_run: false } => {
+                self.run.orders.0 += 1;
+                let left = record.ends_us.saturating_sub(record.set_us);
+                for (node, _, _) in preview.changes.iter().filter(|_| record.kind == OrderKind::OutOfService)
+                {
+                    let node = node.to_string();
+                    self.note(tackmast_trace::Event::Ordered { host, node: node.clone(), out: true });
+                    // By the host's own steady clock, which may be a little early.
+                    let early = (left as f64 * self.w.drift) as Us;
+                    self.push(self.now + left - early, Event::OrderOver(host, node));
+                }
+            }
+            Reply::Refused(_) => self.run.orders.1 += 1,
+            Reply::Plan(PlanReply::Applied { number, .. }) => {
+                let core = self.hosts[host as usize].core.core();
+                let Some((limit, burst, slack)) =
+                    core.and_then(|c| c.plans()).and_then(|p| p.limit_of("school"))
+                else {
+                    return;
+                };
+                let limit = if self.mutant == Some(Mutant::PlanIgnored) { limit * 0.3 } else { limit };
+                self.acknowledged.insert(number, self.run.trace.len());
+                let in_force_us = self.now + (PLANS_SETTLE_S * 1e6) as Us;
+                self.note(tackmast_trace::Event::PlanMoved { volume: 1, limit, burst, slack, in_force_us });
+            }
+            _ => {}
+        }
+    }
+
+    /// The host that takes changes is asked to make the limited volume's plan so many times what the settings say.
+    pub(super) fn plan(&mut self, limit_times: f64, burst_times: f64) {
+        let home = 0;
+        if !self.hosts[home].up || self.hosts[home].stands > self.now {
+            return;
+        }
+        let now = self.time(home as u32);
+        let p = &self.settings[home].plans[0];
+        let (name, weight) = (p.name.clone(), p.weight);
+        let to = tackmast_plans::Plan {
+            limit: p.limit * limit_times,
+            burst: p.burst * burst_times,
+            slack: p.slack,
+            reserve: p.reserve,
+            weight,
+        };
+        let Some(core) = self.hosts[home].core.core() else { return };
+        let Some(base) = core.plans().map(|p| p.status(now).catalogue.version) else { return };
+        let steps = vec![tackmast_plans::Step::Plan { name, to: Some(to) }];
+        let change = tackmast_plans::Change { base, steps, who: "lab".into(), why: "drawn".into() };
+        core.ask(now, 1, Ask::Plan(PlanAsk::Apply { change, dry_run: false }));
+        self.pull(home as u32);
+    }
+
+    /// A change is in force once all hosts that its volume comes through go by it: one that was cut off learns late, and
+    /// until then it may go by the one before. A host goes by a later one as well.
+    pub(super) fn in_force(&mut self) {
+        let few = self.w.limited_hosts.min(self.w.hosts);
+        for (number, at) in &self.acknowledged {
+            let when = |h: u32| {
+                let later = self.went.range(number..).filter_map(|(_, went)| went.get(&h));
+                later.min().copied().unwrap_or(Us::MAX)
+            };
+            let last = (0..few).map(when).max().unwrap_or(0);
+            let Some(line) = self.run.trace.get_mut(*at) else { continue };
+            if let tackmast_trace::Event::PlanMoved { in_force_us, .. } = &mut line.event {
+                self.run.plans.0 += 1;
+                self.run.plans.1 += u64::from(last <= *in_force_us);
+                *in_force_us = (*in_force_us).max(last).min(self.now);
+            }
+        }
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -59,7 +59,19 @@
 }
 
 impl Load {
-    /// Reads and checks a file; an error names the place, what was found and what was expected.
+    /// The load that a file holds.
+    pub fn read(path: &std::path::Path) -> Result<Load, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError {
+            file: file.clone(),
+            line: 0,
+            place: "file".into(),
+            problem: format!("{e}; expected the file of a load"),
+        })?;
+        Load::parse(&file, &text)
+    }
+
+    /// Checks a text; an error names the place, what was found and what was expected.
     pub fn parse(file: &str, text: &str) -> Result<Load, ConfigError> {
         let doc = Document::parse(file, text)?;
         doc.only(&["load", "flow"])?;
