--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -112,6 +112,9 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Plays the views of fleets under faults: time to settle after the last one, false deaths, bytes; beside the former
+    /// view or without one addition, in pairs; and deliberate faults of the view that have to be found.
+    View(crate::views::ViewArguments),
     /// Prints the world of one seed as a day script, for `tackmast day` and for `tackmast lab play --day`.
     Script {
         #[arg(long, default_value_t = 1)]
@@ -232,6 +235,7 @@
             }
             crate::planner::beside_lab(&loads, hosts, nodes, seed, ahead)
         }
+        LabCommand::View(a) => crate::views::run(&a),
         LabCommand::Fleet { hosts, loss, seed } => {
             if hosts.iter().any(|h| !(3..=1000).contains(h)) || loss.iter().any(|l| !(0.0..=0.9).contains(l))
             {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod serve;
 mod stand;
+mod views;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -44,6 +45,12 @@
         /// speak HTTP/1.1. SIGHUP reads the file again. docs/operating.md tells more.
         #[arg(long, conflicts_with = "config")]
         platform: bool,
+        /// For rehearsals: the wall clock is wrong by so many seconds.
+        #[arg(long, default_value_t = 0.0, allow_negative_numbers = true, hide = true)]
+        clock_off_s: f64,
+        /// For rehearsals: all clocks run at this pace.
+        #[arg(long, default_value_t = 1.0, hide = true)]
+        clock_pace: f64,
     },
     /// Runs a stand-in for a storage node, on loopback, that keeps its bytes in memory.
     ///
@@ -118,7 +125,9 @@
         return ExitCode::from(2);
     }
     let outcome = match arguments.command {
-        Command::Serve { config: Some(config), .. } => serve::serve(&config),
+        Command::Serve { config: Some(config), clock_off_s, clock_pace, .. } => {
+            serve::serve(&config, (clock_off_s, clock_pace))
+        }
         Command::Serve { config: None, .. } => platform::serve(),
         Command::Node(a) => stand::node(&a),
         Command::NodeList { listen } => stand::node_list(listen),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -9,7 +9,15 @@
 use tackmast_config::HostSettings;
 use tackmast_host::Host;
 
-pub fn serve(config: &Path) -> Result<ExitCode, String> {
+pub fn serve(config: &Path, (clock_off_s, clock_pace): (f64, f64)) -> Result<ExitCode, String> {
+    if !(-1e9..=1e9).contains(&clock_off_s) || !(0.5..=2.0).contains(&clock_pace) {
+        return Err(format!(
+            "--clock-off-s {clock_off_s} --clock-pace {clock_pace}; expected seconds, and 0.5 to 2"
+        ));
+    }
+    if (clock_off_s, clock_pace) != (0.0, 1.0) {
+        tackmast_host::Clock::rehearse(clock_off_s, clock_pace);
+    }
     let settings = HostSettings::read(config).map_err(|e| e.to_string())?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
     let patience = Duration::from_millis(settings.bounds.drain_ms);
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -29,6 +29,8 @@
     pub seed: Option<u64>,
     /// File that keeps the node list as last held, for the next start.
     pub saved_list: Option<std::path::PathBuf>,
+    /// The site that this host stands in, as a number; told to the other hosts.
+    pub site: Option<u32>,
 }
 
 fn target_name() -> String {
@@ -130,6 +132,8 @@
 pub struct MembershipBlock {
     /// Where peers' datagrams come.
     pub listen: SocketAddr,
+    /// Where peers reach this host, if that is not `listen`: behind a translation of addresses.
+    pub advertise: Option<SocketAddr>,
     /// Name of the fleet; datagrams of any other are dropped.
     pub fleet: String,
     /// Hosts that are asked first.
@@ -426,6 +430,7 @@
         };
         whole("host", "hosts", u64::from(host.hosts), 1, 100_000)?;
         whole("host", "number", u64::from(host.number), 0, u64::from(host.hosts) - 1)?;
+        whole("host", "site", u64::from(host.site.unwrap_or(0)), 0, 100_000)?;
         within("host", "", "tick_ms", host.tick_ms, 0.1, 1000.0)?;
         within("host", "", "answer_lead_ms", host.answer_lead_ms, 0.0, 60_000.0)?;
         for (name, value, low, high) in [
@@ -470,6 +475,10 @@
             within("membership", "", "term_s", m.term_s, 0.2, 60.0)?;
             within("membership", "", "leave_s", m.leave_s, m.term_s, DAY_S)?;
             within("membership", "", "drift", m.drift, 0.0, 0.1)?;
+            if let Some(a) = m.advertise.filter(|a| a.port() == 0 || a.ip().is_unspecified()) {
+                let at = Place { kind: "membership", label: "", name: "advertise" };
+                return Err(doc.wrong(&at, a, "an address and port at which peers reach this host"));
+            }
             if m.admit.is_empty() {
                 let at = Place { kind: "membership", label: "", name: "admit" };
                 return Err(doc.wrong(&at, "[]", "one prefix of peers or more"));
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,8 +21,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tackmast_config::{HostSettings, OverridesBlock};
-use tackmast_hostcore::{Core, Keep, Plans};
-use tackmast_keep::Store;
+use tackmast_hostcore::{Core, Keep, Plans, Remembered};
+use tackmast_keep::{Held, Store};
 use tackmast_overrides::Overrides;
 
 /// Stack of the threads that only move bytes.
@@ -69,16 +69,17 @@
     built.map_err(|error| StartError::Thread { name, error })
 }
 
-/// Opens the store, hands what it held to the core, and lets operators in.
+/// Hands what the store held to the core, and lets operators in.
+#[allow(clippy::too_many_arguments)] // what the host is made of, one by one
 fn overrides(
     o: &OverridesBlock,
+    (store, held): (Store, Held),
     settings: &HostSettings,
     core: &mut Core,
     clock: Clock,
     urgent: &Sender<core_thread::Event>,
     stopping: &Arc<AtomicBool>,
 ) -> Result<Sender<admin::ToStore>, StartError> {
-    let (store, held) = Store::open(&o.store)?;
     let (now, wall_us) = (clock.now(), Clock::wall_us());
     let bounds = tackmast_overrides::Settings { most: o.most, zone_part: o.zone_part };
     let (overrides, ended) = Overrides::new(now, wall_us, bounds, held.overrides, held.next);
@@ -111,7 +112,16 @@
         };
         let (address, listener) = listen(address)?;
         let nbd = settings.host.listen_nbd.map(listen).transpose()?;
-        let life = clock.unix_us(clock.now()) << 12 | u64::from(settings.host.number & 0xfff);
+        let store = settings.overrides.as_ref().map(|o| Store::open(&o.store)).transpose()?;
+        let by_clock = clock.unix_us(clock.now()) << 12 | u64::from(settings.host.number & 0xfff);
+        let recalled = store.as_ref().map(|(_, held)| held.members.clone()).unwrap_or_default();
+        // Against a clock that went back: a life numbered below the one before it would be shut out by what is known of
+        // that one. Written down before anything is said under it.
+        let life = by_clock.max(recalled.life + 1);
+        if let Some((store, _)) = &store {
+            let members = Some(Remembered { life, hosts: recalled.hosts.clone() });
+            store.keep(&Keep { members, ..Keep::default() })?;
+        }
         let seed = settings.host.seed.unwrap_or(life ^ u64::from(std::process::id()) << 32);
         let mut core = Core::new(clock.now(), &settings, seed, life);
         let settings = Arc::new(settings);
@@ -122,14 +132,14 @@
         let units = Arc::new(tackmast_target::units(&settings, |v| core.layout().most_blocks(v)));
         let mut threads = Vec::new();
         let list = list::start(settings.clone(), clock, urgent.clone(), stopping.clone())?;
-        let to_store = match &settings.overrides {
-            Some(o) => Some(overrides(o, &settings, &mut core, clock, &urgent, &stopping)?),
+        let to_store = match settings.overrides.as_ref().zip(store) {
+            Some((o, store)) => Some(overrides(o, store, &settings, &mut core, clock, &urgent, &stopping)?),
             None => None,
         };
         let peers = match &settings.membership {
             Some(m) => {
-                let (life_seed, stop) = ((life, seed), stopping.clone());
-                Some(peers::start(&settings, m, &mut core, clock, life_seed, events.clone(), stop)?)
+                let (ids, known, stop) = ((life, seed), recalled.hosts, stopping.clone());
+                Some(peers::start(&settings, m, &mut core, clock, ids, known, events.clone(), stop)?)
             }
             None => None,
         };
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -28,12 +28,14 @@
     marked: bool,
 }
 
+#[allow(clippy::too_many_arguments)] // what the room is given, one by one
 pub fn start(
     s: &HostSettings,
     m: &MembershipBlock,
     core: &mut Core,
     clock: Clock,
     (life, seed): (u64, u64),
+    recalled: Vec<(u32, u64, SocketAddr)>,
     events: Sender<Event>,
     stopping: Arc<AtomicBool>,
 ) -> Result<(Peers, SocketAddr), StartError> {
@@ -45,7 +47,7 @@
     let reader = socket.try_clone().map_err(failed)?;
     let marked = m.left_file.as_ref().is_some_and(|f| f.exists());
     let now = clock.now();
-    core.with_fellows(now, Fellows::new(now, member_settings(s, m, address, life, marked, seed)));
+    core.with_fellows(now, Fellows::new(now, member_settings(s, m, address, life, marked, seed, recalled)));
     crate::thread("peers".into(), move || read(&reader, &events, &stopping))?;
     Ok((Peers { socket, left_file: m.left_file.clone(), marked }, address))
 }
--- a/crates/hostcore/src/core/fellows.rs
+++ b/crates/hostcore/src/core/fellows.rs
@@ -127,7 +127,7 @@
     /// Its last word to the others.
     pub fn left(&mut self, now: Instant) {
         if let Some(f) = &mut self.fellows {
-            f.member.left();
+            f.member.left(now);
             self.follow_fellows(now);
         }
     }
@@ -156,6 +156,10 @@
                 Followed::Send { to, bytes } => self.outputs.push_back(Output::Datagram { to, bytes }),
                 Followed::Mode(line) => self.mode(line),
                 Followed::Ask(request, ask) => self.ask(now, request, ask),
+                Followed::Remember(r) => {
+                    let keep = Keep { members: Some(r), ..Keep::default() };
+                    self.outputs.push_back(Output::Keep { request: 0, keep });
+                }
                 Followed::Paper(p) => {
                     let Some(plans) = &mut self.plans else { continue };
                     let ends = f.member.papers.ends(p.number, now);
--- a/crates/hostcore/src/fellows.rs
+++ b/crates/hostcore/src/fellows.rs
@@ -10,8 +10,8 @@
 use tackmast::interface::{Instant, Span};
 use tackmast_config::{HostSettings, MembershipBlock};
 use tackmast_membership::{
-    Do, LoanSettings, Member, MemberSettings, Moved, OrderKind, Output, Paper, Shared, SpreadOrder,
-    ViewSettings,
+    Do, LoanSettings, Member, MemberSettings, Moved, OrderKind, Output, Paper, Remembered, Shared, SiteWord,
+    SpreadOrder, ViewSettings, Ways,
 };
 use tackmast_overrides::{Kind, Order, Origin, Override, OverrideId};
 
@@ -21,7 +21,6 @@
 /// The view, the loans and the orders of one host, and what was passed on of them.
 pub struct Fellows {
     pub member: Member,
-    me: (u32, u64),
     told: u32,
     there: u32,
     moved: BTreeMap<u32, Moved>,
@@ -47,6 +46,8 @@
     Ask(u64, Ask),
     /// A change of plans.
     Paper(Paper),
+    /// To be written down for the next life.
+    Remember(Remembered),
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -56,6 +57,37 @@
     pub address: String,
     pub life: u64,
     pub since_s: f64,
+    #[serde(default)]
+    pub incarnation: u32,
+    #[serde(default)]
+    pub site: Option<u32>,
+    /// It comes and goes: it is not asked for help until it stays.
+    #[serde(default)]
+    pub flaps: bool,
+}
+
+/// What a host thinks of a site.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SiteStatus {
+    /// None: hosts that told no site.
+    pub site: Option<u32>,
+    pub alive: u32,
+    pub suspect: u32,
+    pub dead: u32,
+    pub left: u32,
+    /// There, unheard as a whole, emptied one by one, or left.
+    pub word: String,
+}
+
+/// A host that was held dead.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DeathStatus {
+    pub host: u32,
+    pub life: u64,
+    pub incarnation: u32,
+    pub ago_s: f64,
+    /// This host found it itself; else it was heard.
+    pub own: bool,
 }
 
 /// What a host knows of others.
@@ -73,9 +105,50 @@
     pub sent_bytes: u64,
     pub taken: u64,
     pub dropped: u64,
+    /// This host's own life, its word on itself, its site and where others reach it.
+    #[serde(default)]
+    pub life: u64,
+    #[serde(default)]
+    pub incarnation: u32,
+    #[serde(default)]
+    pub site: Option<u32>,
+    #[serde(default)]
+    pub address: String,
+    /// Of all that it knows: equal where views are equal.
+    #[serde(default)]
+    pub digest: u32,
+    /// For how long nothing has changed here, and nobody was heard of who knew otherwise.
+    #[serde(default)]
+    pub still_s: f64,
+    /// Steps by which it waits longer for answers, since they come late here.
+    #[serde(default)]
+    pub strain: u32,
+    #[serde(default)]
+    pub sites: Vec<SiteStatus>,
+    #[serde(default)]
+    pub deaths: Vec<DeathStatus>,
+    /// Suspicions begun and taken back, deaths found here, accusations of this host that it answered, and times it stood
+    /// still; news of hosts beyond the told number; changes of hosts that flap; times it took its number back.
+    #[serde(default)]
+    pub suspected: u64,
+    #[serde(default)]
+    pub refuted: u64,
+    #[serde(default)]
+    pub found_dead: u64,
+    #[serde(default)]
+    pub accused: u64,
+    #[serde(default)]
+    pub pauses: u64,
+    #[serde(default)]
+    pub beyond: u64,
+    #[serde(default)]
+    pub damped: u64,
+    #[serde(default)]
+    pub taken_over: u64,
 }
 
-/// What a host's settings make of it as a member. `address` is where its peers reach it.
+/// What a host's settings make of it as a member. `address` is where it listens; `recalled` are hosts that an earlier life
+/// knew.
 pub fn member_settings(
     s: &HostSettings,
     m: &MembershipBlock,
@@ -83,6 +156,7 @@
     life: u64,
     left: bool,
     seed: u64,
+    recalled: Vec<(u32, u64, SocketAddr)>,
 ) -> MemberSettings {
     let secs = Span::from_secs;
     let shared = s.volumes.iter().filter(|v| !v.through.is_empty()).map(|v| Shared {
@@ -94,10 +168,16 @@
         fleet: m.fleet.clone(),
         slot: s.host.number,
         life,
-        address,
+        address: m.advertise.unwrap_or(address),
+        site: s.host.site,
+        recalled,
         seeds: m.seeds.clone(),
         admit: m.admit.clone(),
-        view: ViewSettings { period: secs(m.period_ms / 1e3), most: s.host.hosts as usize },
+        view: ViewSettings {
+            period: secs(m.period_ms / 1e3),
+            most: s.host.hosts as usize,
+            ways: Ways::all(),
+        },
         loans: LoanSettings {
             term: secs(m.term_s),
             leave_term: secs(m.leave_s),
@@ -113,7 +193,6 @@
 impl Fellows {
     pub fn new(now: Instant, settings: MemberSettings) -> Self {
         Fellows {
-            me: (settings.slot, settings.life),
             told: settings.view.most as u32,
             member: Member::new(now, settings),
             there: 0,
@@ -126,7 +205,8 @@
     }
 
     pub fn me(&self) -> (u32, u64) {
-        self.me
+        let me = self.member.view.me();
+        (me.slot, me.life)
     }
 
     /// This host goes by plans that change, and has these changes.
@@ -168,6 +248,7 @@
                 Output::Send { to, bytes } => Followed::Send { to, bytes },
                 Output::Mode(line) => Followed::Mode(line),
                 Output::Paper(p) => Followed::Paper(p),
+                Output::Remember(r) => Followed::Remember(r),
                 Output::Do(d) => match self.asked(d) {
                     Some(ask) => {
                         self.asks += 1;
@@ -223,24 +304,66 @@
     }
 
     pub fn status(&self, now: Instant) -> MembersStatus {
-        let c = &self.member.counters;
+        let (c, view) = (&self.member.counters, &self.member.view);
+        let (me, v) = (view.me(), view.counters);
         let peers = self.member.snapshot().into_iter().map(|(host, s)| PeerStatus {
             host,
             health: format!("{:?}", s.health).to_lowercase(),
             address: s.address.to_string(),
             life: s.life,
             since_s: (now - s.since).secs(),
+            incarnation: s.incarnation,
+            site: s.site,
+            flaps: view.is_flapping(now, host),
+        });
+        let sites = view.sites().into_iter().map(|s| SiteStatus {
+            site: s.site,
+            alive: s.alive,
+            suspect: s.suspect,
+            dead: s.dead,
+            left: s.left,
+            word: match s.word {
+                SiteWord::There => "there",
+                SiteWord::Unheard(_) => "unheard as a whole",
+                SiteWord::Emptied(_) => "emptied one by one",
+                SiteWord::Left => "left",
+            }
+            .into(),
+        });
+        let deaths = view.deaths().map(|d| DeathStatus {
+            host: d.slot,
+            life: d.life,
+            incarnation: d.incarnation,
+            ago_s: (now - d.at).secs(),
+            own: d.own,
         });
         MembersStatus {
-            host: Some(self.me.0),
+            host: Some(me.slot),
             there: self.member.alive(),
             peers: peers.collect(),
             loans: self.member.loans.shown(now),
-            displaced: self.member.view.is_displaced(),
+            displaced: view.is_displaced(),
             sent: c.sent,
             sent_bytes: c.sent_bytes,
             taken: c.taken,
             dropped: c.strangers + c.other_fleets + c.damaged + c.false_names + c.lost_full,
+            life: me.life,
+            incarnation: me.incarnation,
+            site: me.site,
+            address: me.address.to_string(),
+            digest: view.digest(),
+            still_s: view.still(now).secs(),
+            strain: view.strain(),
+            sites: sites.collect(),
+            deaths: deaths.collect(),
+            suspected: v.suspected,
+            refuted: v.refuted,
+            found_dead: v.found_dead,
+            accused: v.accused,
+            pauses: v.pauses,
+            beyond: v.beyond,
+            damped: v.damped,
+            taken_over: v.taken_over,
         }
     }
 }
--- a/crates/hostcore/src/lib.rs
+++ b/crates/hostcore/src/lib.rs
@@ -17,11 +17,12 @@
 
 pub use crate::core::{CommandRef, Core, Counters, LegBack, LegId, LegWork, Output, SendLeg, Verdict, Work};
 pub use combine::{combine, Combined, PartEnd};
-pub use fellows::{member_settings, Fellows, MembersStatus, PeerStatus};
+pub use fellows::{member_settings, DeathStatus, Fellows, MembersStatus, PeerStatus, SiteStatus};
 pub use layout::{Layout, Part};
 pub use nodes::{Age, ListEntry, Nodes, Start};
 pub use orders::{Ask, Keep, Orders, OrdersStatus, Reply};
 pub use placed::{Placed, PlacedSettings, Request, VolumeNames};
 pub use plans::{Move, PlanAsk, PlanReply, PlanStatus, Plans};
 pub use sharing::{LineName, Place, Sharing};
+pub use tackmast_membership::Remembered;
 pub use ticket::Ticket;
--- a/crates/hostcore/src/orders.rs
+++ b/crates/hostcore/src/orders.rs
@@ -83,6 +83,8 @@
     pub audits: Vec<Audit>,
     /// Changes of plans by number, as they are written; what the trail begins with is number 0.
     pub changes: Vec<(u64, Vec<u8>)>,
+    /// Other hosts for the next life to call, and the number of this one's life.
+    pub members: Option<tackmast_membership::Remembered>,
 }
 
 enum Pending {
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -2,8 +2,9 @@
 //! told of; what was told of is there after any crash, and nothing half-done is.
 
 use redb::{Database, ReadableTable, ReadableTableMetadata, TableDefinition};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use tackmast_hostcore::Keep;
+use tackmast_hostcore::{Keep, Remembered};
 use tackmast_overrides::{Audit, Override};
 
 /// Raised when what is written changes its form.
@@ -16,6 +17,8 @@
 const AUDIT: TableDefinition<u64, &[u8]> = TableDefinition::new("audit");
 /// Changes of plans by number, each as a line of the trail; what it begins with is number 0.
 const CHANGES: TableDefinition<u64, &[u8]> = TableDefinition::new("changes of plans");
+/// Other hosts by number: eight bytes of their life, and the text of their address.
+const MEMBERS: TableDefinition<u64, &[u8]> = TableDefinition::new("members");
 
 #[derive(Debug, thiserror::Error)]
 pub enum KeepError {
@@ -28,6 +31,11 @@
 const MOVE_AWAY: &str =
     "Nothing was changed. To start without what it holds, move the file away; overrides then have to be set anew";
 
+fn member(bytes: &[u8]) -> Option<(u64, SocketAddr)> {
+    let (life, address) = bytes.split_first_chunk::<8>()?;
+    Some((u64::from_be_bytes(*life), std::str::from_utf8(address).ok()?.parse().ok()?))
+}
+
 /// The open store of one host.
 pub struct Store {
     db: Database,
@@ -42,6 +50,8 @@
     pub next: u64,
     /// The trail of changes of plans, as it was written.
     pub trail: Vec<u8>,
+    /// What an earlier life knew of other hosts, and the number of that life.
+    pub members: Remembered,
 }
 
 impl Store {
@@ -126,7 +136,15 @@
                 trail.extend_from_slice(value.value());
             }
         }
-        Ok(Held { overrides, next: number("next override")?.unwrap_or(1), trail })
+        let mut members = Remembered { life: number("life")?.unwrap_or(0), hosts: Vec::new() };
+        if let Ok(table) = r.open_table(MEMBERS) {
+            for row in table.iter().map_err(|e| e.to_string())? {
+                let (key, value) = row.map_err(|e| e.to_string())?;
+                let one = member(value.value()).ok_or_else(|| format!("member {}: damaged", key.value()))?;
+                members.hosts.push((key.value() as u32, one.0, one.1));
+            }
+        }
+        Ok(Held { overrides, next: number("next override")?.unwrap_or(1), trail, members })
     }
 
     /// Writes all of it or nothing; it is on the disk when this returns.
@@ -155,6 +173,18 @@
                     changes.insert(number, line.as_slice())?;
                 }
             }
+            if let Some(m) = &k.members {
+                // A life's number never goes back, whatever clock it was drawn from.
+                let life = meta.get("life")?.map_or(0, |v| v.value()).max(m.life);
+                meta.insert("life", life)?;
+                let mut members = w.open_table(MEMBERS)?;
+                members.retain(|_, _| false)?;
+                for (slot, life, address) in &m.hosts {
+                    let mut bytes = life.to_be_bytes().to_vec();
+                    bytes.extend_from_slice(address.to_string().as_bytes());
+                    members.insert(u64::from(*slot), bytes.as_slice())?;
+                }
+            }
             let mut audit = w.open_table(AUDIT)?;
             let first = audit.last()?.map_or(0, |(n, _)| n.value() + 1);
             for (line, a) in (first..).zip(&k.audits) {
--- a/crates/keep/tests/crash.rs
+++ b/crates/keep/tests/crash.rs
@@ -4,7 +4,7 @@
 use redb::StorageBackend;
 use std::io;
 use std::sync::{Arc, Mutex};
-use tackmast_hostcore::Keep;
+use tackmast_hostcore::{Keep, Remembered};
 use tackmast_keep::Store;
 use tackmast_overrides::*;
 
@@ -78,7 +78,11 @@
 
 fn put(id: u64) -> Keep {
     let changes = vec![(id - 1, vec![id as u8; 8])];
-    Keep { put: vec![record(id)], remove: vec![], audits: vec![Audit::set(&record(id), false)], changes }
+    // As many other hosts as the number says, under a life of that number.
+    let host = |h: u32| (h, id, std::net::SocketAddr::from(([10, 0, 0, h as u8], 7400)));
+    let members = Some(Remembered { life: id, hosts: (0..id as u32).map(host).collect() });
+    let audits = vec![Audit::set(&record(id), false)];
+    Keep { put: vec![record(id)], remove: vec![], audits, changes, members }
 }
 
 fn clear(id: u64) -> Keep {
@@ -140,6 +144,13 @@
             let changes = held.trail.len() / 8;
             assert!(changes == puts(done) || changes == puts(done + 1), "cut {cut}: {changes} changes");
             assert!(held.trail.chunks(8).zip(1u8..).all(|(c, id)| c == [id; 8]), "cut {cut}: their order");
+            // Who is known is of one life, whole; and the life's number is the last that was acknowledged, or the next.
+            let life = held.members.life;
+            assert_eq!(held.members.hosts.len() as u64, life, "cut {cut}: hosts of life {life}");
+            let lives =
+                |n: usize| keeps.iter().take(n).filter_map(|k| k.members.as_ref()).map(|m| m.life).max();
+            let lives = [lives(done).unwrap_or(0), lives(done + 1).unwrap_or(0)];
+            assert!(lives.contains(&life), "cut {cut}: life {life}");
             store.keep(&put(9)).unwrap();
             cuts += 1;
         }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use tackmast::interface::{Instant, Span};
 use tackmast_membership::{
-    Do, Health, LoanSettings, Member, MemberSettings, OrderKind, Output, SpreadOrder, ViewSettings,
+    Do, Health, LoanSettings, Member, MemberSettings, OrderKind, Output, SpreadOrder, ViewSettings, Ways,
 };
 
 type Us = u64;
@@ -88,9 +88,11 @@
             slot: h,
             life: self.lives,
             address: peer_address(h),
+            site: Some(h % 3),
+            recalled: Vec::new(),
             seeds,
             admit: Vec::new(),
-            view: ViewSettings { period: secs(0.5), most: 1000 },
+            view: ViewSettings { period: secs(0.5), most: 1000, ways: Ways::all() },
             loans: LoanSettings { term: secs(2.0), leave_term: secs(60.0), drift: 0.001, owned: 0.9 },
             shared: Vec::new(),
             left: false,
@@ -135,7 +137,7 @@
             let Some(o) = m.next_output() else { break };
             match o {
                 Output::Send { to, bytes } => self.post(h, to, &bytes),
-                Output::Mode(_) => {}
+                Output::Mode(_) | Output::Remember(_) => {}
                 Output::Paper(p) => {
                     let ends = m.papers.ends(p.number, at(self.now));
                     m.paper_taken(at(self.now), p.number, p.number, p.text, ends);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod report;
 mod save;
 mod sim;
+mod views;
 
 pub use compare::{compare, figures, median_with_interval, Change, Line, Variant};
 pub use day::DayScript;
@@ -18,6 +19,8 @@
 pub use plain::Plain;
 pub use report::{curves, page, Series};
 pub use sim::{run, settings, Class, Mutant, Run};
+pub use tackmast_membership::{ViewFault, Ways};
+pub use views::{difference, find, summary, view, Case, Shown, Summary, Trial};
 
 use tackmast_rulecheck::{judge, Report};
 
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -225,6 +225,7 @@
     next: u64,
     /// Changes of plans, by number.
     changes: BTreeMap<u64, Vec<u8>>,
+    members: Vec<(u32, u64, std::net::SocketAddr)>,
 }
 
 struct Host {
@@ -334,6 +335,7 @@
 static MEMBERS: std::sync::LazyLock<tackmast_config::MembershipBlock> =
     std::sync::LazyLock::new(|| tackmast_config::MembershipBlock {
         listen: peer_address(0),
+        advertise: None,
         fleet: "lab".into(),
         seeds: (0..3).map(peer_address).collect(),
         admit: Vec::new(),
--- a/crates/lab/src/sim/hosts.rs
+++ b/crates/lab/src/sim/hosts.rs
@@ -26,7 +26,8 @@
         if let Some(core) = core.core().filter(|_| self.w.members.is_some()) {
             let s = &self.settings[h as usize];
             let address = peer_address(h);
-            let member = member_settings(s, &MEMBERS, address, self.lives, kept.left, seed);
+            let member =
+                member_settings(s, &MEMBERS, address, self.lives, kept.left, seed, kept.members.clone());
             core.with_fellows(now, Fellows::new(now, member));
         }
         Host {
--- a/crates/lab/src/sim/orders.rs
+++ b/crates/lab/src/sim/orders.rs
@@ -30,6 +30,9 @@
             kept.overrides.insert(o.id, o);
         }
         keep.remove.iter().for_each(|id| _ = kept.overrides.remove(id));
+        if let Some(m) = keep.members {
+            kept.members = m.hosts;
+        }
         for (number, line) in keep.changes {
             kept.changes.insert(number, line);
             self.went.entry(number).or_default().entry(h).or_insert(self.now);
--- /dev/null
+++ b/crates/lab/tests/views.rs
@@ -0,0 +1,60 @@
+//! Views of fleets under faults, in virtual time: every case settles, no view does what none may, and each deliberate
+//! fault of the view is found.
+
+use tackmast_lab::{find, view, Case, Trial, ViewFault, Ways};
+
+fn trial(case: Case, hosts: u32, seed: u64) -> Trial {
+    Trial { case, hosts, seed, ways: Ways::all(), fault: None }
+}
+
+#[test]
+fn every_case_settles_and_no_view_does_what_none_may() {
+    for case in Case::ALL {
+        for (hosts, seed) in [(3, 1), (12, 1), (12, 2), (24, 3)] {
+            let shown = view(&trial(case, hosts, seed));
+            assert!(!shown.is_bad(), "{} of {hosts}, seed {seed}: {shown:?}", case.name());
+            // A host that hears nobody for long takes itself for alone; nobody else may find a false death.
+            let by_deaf = if case == Case::Deaf { u64::from(hosts) - 1 } else { 0 };
+            let bound = if case == Case::Lossy { 2 } else { 0 } + by_deaf;
+            assert!(shown.false_deaths <= bound, "{} of {hosts}, seed {seed}: {shown:?}", case.name());
+        }
+    }
+}
+
+#[test]
+fn the_same_seed_is_the_same_run() {
+    let words = |seed| format!("{:?}", view(&trial(Case::Lossy, 12, seed)));
+    assert_eq!(words(4), words(4));
+    assert_ne!(words(4), words(5));
+}
+
+#[test]
+fn each_fault_of_the_view_is_found_within_three_seeds() {
+    for fault in ViewFault::ALL {
+        let found = find(fault, 12, 1, 3);
+        assert!(found.is_some(), "{fault:?}");
+    }
+}
+
+#[test]
+fn each_addition_is_needed_where_it_is_for() {
+    // Without it: later, or more false accusations, in the median of the same seeds.
+    let all = Ways::all();
+    let cases = [
+        ("local health", Case::Mute, Ways { local_health: false, ..all }),
+        ("confirm", Case::ThirdKilled, Ways { confirm: false, ..all }),
+        ("own pause", Case::StoppedInTurn, Ways { own_pause: false, ..all }),
+        ("told back", Case::TwoParts, Ways { told_back: false, own_word: false, ..all }),
+        ("recall", Case::SeedsGone, Ways { recall: false, ..all }),
+        ("twin", Case::Twins, Ways { twin: false, ..all }),
+    ];
+    for (name, case, ways) in cases {
+        let figure = |ways| -> f64 {
+            let of = |seed| view(&Trial { ways, ..trial(case, 24, seed) });
+            let all = (1..=5).map(of);
+            all.map(|s| s.settled.unwrap_or(400.0) + (s.false_deaths + s.accused) as f64).sum()
+        };
+        let (with, without) = (figure(all), figure(ways));
+        assert!(without > with, "{name}: {with} with it, {without} without");
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,8 +9,8 @@
 mod view;
 
 pub use loans::{LoanSettings, Loans, Moved, Say, Shared, TermFault};
-pub use member::{Counters, Member, MemberSettings, Output};
+pub use member::{Counters, Member, MemberSettings, Output, Remembered};
 pub use papers::{Paper, Papers, MOST_BYTES, MOST_PAPERS};
 pub use spread::{Do, Spread};
 pub use tackmast_wire::peer::{Datagram, Health, News, OrderKind, SpreadOrder};
-pub use view::{Seen, View, ViewSettings};
+pub use view::{Change, Death, Seen, SiteSeen, SiteWord, View, ViewFault, ViewSettings, Ways};
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -3,13 +3,13 @@
 use crate::loans::{LoanSettings, Loans, Moved, Say, Shared};
 use crate::papers::{Paper, Papers, TOLD};
 use crate::spread::{Do, Spread};
-use crate::view::{Seen, View, ViewSettings};
+use crate::view::{Change, Seen, SiteWord, View, ViewFault, ViewSettings};
 use bytes::Bytes;
 use imbl::OrdMap;
 use ipnet::IpNet;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use tackmast::interface::Instant;
+use tackmast::interface::{Instant, Span};
 use tackmast_overrides::Origin as Name;
 use tackmast_wire::peer::{Body, Datagram, Health, News, SpreadOrder, MOST_ORDERS};
 
@@ -19,6 +19,15 @@
 const PIECES: usize = 32;
 /// Orders told in answer to one digest, at most, beginning elsewhere each time.
 const ORDERS: usize = 64;
+/// Periods from one writing down of who is known to the next.
+const REMEMBER: f64 = 10.0;
+
+/// What the next life of this host is to know: its number of life, and others that were there. Addresses to call, no more.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Remembered {
+    pub life: u64,
+    pub hosts: Vec<(u32, u64, SocketAddr)>,
+}
 
 #[derive(Clone, Debug)]
 pub struct MemberSettings {
@@ -26,7 +35,10 @@
     pub slot: u32,
     pub life: u64,
     pub address: SocketAddr,
+    pub site: Option<u32>,
     pub seeds: Vec<SocketAddr>,
+    /// What an earlier life wrote down; they are called, and count only by their own word.
+    pub recalled: Vec<(u32, u64, SocketAddr)>,
     /// Prefixes of peers; none: any.
     pub admit: Vec<IpNet>,
     pub view: ViewSettings,
@@ -48,6 +60,8 @@
     Do(Do),
     /// A change of plans came from another host.
     Paper(Paper),
+    /// To be written down for the next life, in place of what was before.
+    Remember(Remembered),
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -66,12 +80,18 @@
 
 pub struct Member {
     fleet: String,
-    life: u64,
     admit: Vec<IpNet>,
     pub view: View,
     pub loans: Loans,
     pub spread: Spread,
     pub papers: Papers,
+    shared: (LoanSettings, Vec<Shared>),
+    /// Another life of this host's number may use what hosts share; this one does not, whatever else it does.
+    yields: bool,
+    remembered: Remembered,
+    remember_at: Instant,
+    period: Span,
+    own_word: bool,
     outputs: VecDeque<Output>,
     from_order: usize,
     pub counters: Counters,
@@ -79,16 +99,35 @@
 
 impl Member {
     pub fn new(now: Instant, s: MemberSettings) -> Self {
-        let (incarnation, health, address) = (0, Health::Alive, s.address);
-        let me = News { slot: s.slot, life: s.life, incarnation, health, address };
+        Member::with(now, s, None)
+    }
+
+    /// With a deliberate fault of its view, for tests.
+    pub fn with_fault(now: Instant, s: MemberSettings, fault: ViewFault) -> Self {
+        Member::with(now, s, Some(fault))
+    }
+
+    fn with(now: Instant, s: MemberSettings, fault: Option<ViewFault>) -> Self {
+        let (incarnation, health, address, by) = (0, Health::Alive, s.address, None);
+        let me = News { slot: s.slot, life: s.life, incarnation, health, address, site: s.site, by };
+        let recalled = s.recalled.iter().map(|(slot, _, a)| (*slot, *a)).collect();
+        let mut view = View::new(now, me, s.seeds, recalled, s.view, s.seed);
+        if let Some(f) = fault {
+            view = view.with_fault(now, f, &s.recalled);
+        }
         Member {
             fleet: s.fleet,
-            life: s.life,
             admit: s.admit,
-            view: View::new(now, me, s.seeds, s.view, s.seed),
-            loans: Loans::new(now, (s.slot, s.life), s.loans, s.shared, s.left),
+            view,
+            loans: Loans::new(now, (s.slot, s.life), s.loans, s.shared.clone(), s.left),
             spread: Spread::default(),
             papers: Papers::default(),
+            shared: (s.loans, s.shared),
+            yields: false,
+            remembered: Remembered { life: s.life, hosts: s.recalled },
+            remember_at: now,
+            period: s.view.period,
+            own_word: s.view.ways.own_word,
             outputs: VecDeque::new(),
             from_order: 0,
             counters: Counters::default(),
@@ -104,9 +143,13 @@
         self.view.there() + 1
     }
 
+    fn is_admitted(&self, a: &SocketAddr) -> bool {
+        self.admit.is_empty() || self.admit.iter().any(|p| p.contains(&a.ip()))
+    }
+
     /// Bytes came from there. What is not this fleet's is dropped and counted.
     pub fn datagram(&mut self, now: Instant, from: SocketAddr, bytes: Bytes) {
-        if !self.admit.is_empty() && !self.admit.iter().any(|p| p.contains(&from.ip())) {
+        if !self.is_admitted(&from) {
             self.counters.strangers += 1;
             return;
         }
@@ -118,38 +161,43 @@
             self.counters.other_fleets += 1;
             return;
         }
-        let me = self.view.me();
-        if d.slot == me.slot {
-            // A later life of this slot, or an earlier one that woke up; neither is to be listened to.
+        if !self.is_admitted(&d.me.address) {
             self.counters.strangers += 1;
-            let seen =
-                News { slot: d.slot, life: d.life, incarnation: 0, health: Health::Alive, address: from };
-            self.view.learn(now, seen);
             return;
         }
+        let (slot, life) = (d.me.slot, d.me.life);
+        if slot == self.view.me().slot {
+            // A later life of this slot, or an earlier one that woke up; neither is to be listened to.
+            self.counters.strangers += 1;
+            self.view.heard_namesake(now, d.me, from);
+            return self.settle(now);
+        }
         self.counters.taken += 1;
-        // Who speaks is there: at its first word under this life it is known by the address it speaks from.
-        let known = self.view.snapshot().get(&d.slot).map(|s| (s.life, s.address));
-        if known.is_none_or(|(life, _)| life < d.life) {
-            let news =
-                News { slot: d.slot, life: d.life, incarnation: 0, health: Health::Alive, address: from };
-            self.view.learn(now, news);
-            self.loans.new_life(now, d.slot, d.life);
+        let known = self.view.life(slot);
+        if known.is_none_or(|k| k < life) {
+            self.loans.new_life(now, slot, life);
+        }
+        // Who speaks is there: its word on itself, where it is reached and how often it had to say so.
+        if self.own_word {
+            self.view.learn(now, d.me);
+        } else if known.is_none_or(|k| k < life) {
+            self.view.learn(now, News { incarnation: 0, health: Health::Alive, address: from, ..d.me });
         }
+        self.view.heard_from(now, slot, life);
         for n in d.news {
             // Who a host is, is known from itself or by hearsay; its parts are lent by itself alone.
-            if !self.admit.is_empty() && !self.admit.iter().any(|p| p.contains(&n.address.ip())) {
+            if !self.is_admitted(&n.address) {
                 self.counters.strangers += 1;
                 continue;
             }
             self.view.learn(now, n);
         }
-        if known.is_some_and(|(life, _)| life > d.life) {
+        if known.is_some_and(|k| k > life) {
             // An earlier life that woke up: it is told so, and its word counts no more.
             let all = self.view.all_news();
-            let about = all.into_iter().flatten().filter(|n| n.slot == d.slot).collect();
+            let about = all.into_iter().flatten().filter(|n| n.slot == slot).collect();
             self.push(from, Body::Tell, about);
-            return;
+            return self.settle(now);
         }
         let say = match d.body {
             Body::Want { seq, using, of_life, volume, share } => {
@@ -163,6 +211,7 @@
             Body::Returned { to_life, volume } => Say::Returned { to_life, volume },
             Body::Digest { view, orders } => {
                 if view != self.view.digest() {
+                    self.view.differs(now);
                     for news in self.view.all_news().into_iter().take(PIECES) {
                         self.push(from, Body::Tell, news);
                     }
@@ -170,28 +219,28 @@
                 if orders != self.spread.digest(now) {
                     self.tell_orders(now, from);
                 }
-                return self.settle();
+                return self.settle(now);
             }
             Body::Orders(orders) => {
                 orders.into_iter().for_each(|o| self.spread.learn(now, o));
-                return self.settle();
+                return self.settle(now);
             }
             paper @ (Body::Paper { .. } | Body::PaperWant { .. } | Body::PaperPiece { .. }) => {
-                self.papers.heard(now, from, d.slot, &paper);
-                return self.settle();
+                self.papers.heard(now, from, slot, &paper);
+                return self.settle(now);
             }
             other => {
-                self.view.heard(from, d.slot, &other);
-                return self.settle();
+                self.view.heard(now, from, slot, &other);
+                return self.settle(now);
             }
         };
         // A loan is its lender's own word: it counts from the address at which that host is known.
-        if self.view.address(d.slot) != Some(from) {
+        if self.view.address(slot) != Some(from) {
             self.counters.false_names += 1;
             return;
         }
-        self.loans.heard(now, d.slot, d.life, say);
-        self.settle();
+        self.loans.heard(now, slot, life, say);
+        self.settle(now);
     }
 
     fn tell_orders(&mut self, now: Instant, to: SocketAddr) {
@@ -209,8 +258,7 @@
     }
 
     fn push(&mut self, to: SocketAddr, body: Body, news: Vec<News>) {
-        let me = self.view.me();
-        let d = Datagram { fleet: self.fleet.clone(), slot: me.slot, life: self.life, body, news };
+        let d = Datagram { fleet: self.fleet.clone(), me: self.view.me(), body, news };
         let bytes = d.to_bytes();
         // The new one is lost, as on any network: what waits may be an operator's order, which is told only once.
         if self.outputs.len() >= WAITING {
@@ -223,12 +271,20 @@
     }
 
     /// What the parts have to say goes out.
-    fn settle(&mut self) {
-        if self.view.is_displaced() {
+    fn settle(&mut self, now: Instant) {
+        if let Some(at_own_address) = self.view.next_take_over() {
+            // Where no other can listen at this host's address, the later life has ended, and this is a new one that
+            // starts with nothing that is lent. Else silence proves nothing: the other may only stand still.
+            self.yields |= !at_own_address;
+            let me = self.view.me();
+            let (settings, shared) = self.shared.clone();
+            self.loans = Loans::new(now, (me.slot, me.life), settings, shared, false);
+        }
+        if self.yields || self.view.is_displaced() {
             self.loans.displaced();
         }
-        while let Some((to, body)) = self.view.next_send() {
-            let news = self.view.beside();
+        while let Some((to, body, slot)) = self.view.next_send() {
+            let news = self.view.beside(slot);
             self.push(to, body, news);
         }
         while let Some((slot, say)) = self.loans.next_say() {
@@ -244,12 +300,12 @@
                 Say::Recall { volume } => Body::Recall { volume },
                 Say::Returned { to_life, volume } => Body::Returned { to_life, volume },
             };
-            let news = self.view.beside();
+            let news = self.view.beside(Some(slot));
             self.push(to, body, news);
         }
-        while let Some((slot, health)) = self.view.next_change() {
-            let (there, word) = (self.alive(), format!("{health:?}").to_lowercase());
-            self.outputs.push_back(Output::Mode(format!("host {slot} {word}: {there} hosts are there")));
+        while let Some(change) = self.view.next_change() {
+            let line = self.line(change);
+            self.outputs.push_back(Output::Mode(line));
         }
         while let Some(d) = self.spread.next_do() {
             self.outputs.push_back(Output::Do(d));
@@ -266,32 +322,87 @@
         }
     }
 
+    /// A change of the view in words, with its figures.
+    fn line(&self, change: Change) -> String {
+        let there = self.alive();
+        match change {
+            Change::Health(slot, health) => {
+                format!("host {slot} {}: {there} hosts are there", format!("{health:?}").to_lowercase())
+            }
+            Change::Flaps(slot) => {
+                format!("host {slot} comes and goes: it is not asked for help until it stays; {there} hosts are there")
+            }
+            Change::Site(site, word) => match word {
+                SiteWord::Unheard(n) => format!("site {site} is unheard: its {n} hosts fell silent together"),
+                SiteWord::Emptied(n) => format!("site {site} is empty: its {n} hosts fell silent one by one"),
+                SiteWord::Left => format!("site {site} is empty: its hosts left"),
+                SiteWord::There => format!("site {site} is heard again"),
+            },
+            Change::Paused(late) => {
+                format!("this host stood still for {:.2} s: nothing of that is others' fault", late.secs())
+            }
+            Change::Strained(0) => "answers come in time again".into(),
+            Change::Strained(n) => {
+                format!("answers come late or not at all: strain {n}, others are given time")
+            }
+            Change::Displaced(life) => {
+                format!("a later life of this host's number was heard of ({life:x}): it uses nothing that hosts share")
+            }
+            Change::TookOver(life) => {
+                let rest = match self.yields {
+                    true => "it still uses nothing that hosts share until it starts anew",
+                    false => "it is there again",
+                };
+                format!("the later life of this host's number does not run; this goes on as life {life:x}: {rest}")
+            }
+        }
+    }
+
+    /// What the next life is to know, where that has changed, and at most every so many periods.
+    fn remember(&mut self, now: Instant) {
+        if now < self.remember_at {
+            return;
+        }
+        // Whoever an earlier life knew and nobody has spoken of yet stays written down. At most one line a number.
+        let mut all: BTreeMap<u32, (u64, SocketAddr)> =
+            self.remembered.hosts.iter().map(|(slot, life, a)| (*slot, (*life, *a))).collect();
+        let left = |slot: &u32| self.view.snapshot().get(slot).is_some_and(|s| s.health == Health::Left);
+        all.retain(|slot, _| !left(slot));
+        all.extend(self.view.known().map(|(slot, life, a)| (slot, (life, a))));
+        let hosts = all.into_iter().map(|(slot, (life, a))| (slot, life, a)).collect();
+        let new = Remembered { life: self.view.me().life, hosts };
+        if new != self.remembered {
+            self.remember_at = now + Span::from_secs(REMEMBER * self.period.secs());
+            self.remembered = new.clone();
+            self.outputs.push_back(Output::Remember(new));
+        }
+    }
+
     pub fn tick(&mut self, now: Instant) {
         self.view.tick(now);
         // The view does not know of orders: the digest it sends is filled in here.
         let orders = self.spread.digest(now);
         let mut sends = Vec::new();
-        while let Some((to, body)) = self.view.next_send() {
-            sends.push((
-                to,
-                match body {
-                    Body::Digest { view, .. } => Body::Digest { view, orders },
-                    other => other,
-                },
-            ));
+        while let Some((to, body, slot)) = self.view.next_send() {
+            let body = match body {
+                Body::Digest { view, .. } => Body::Digest { view, orders },
+                other => other,
+            };
+            sends.push((to, body, slot));
         }
-        for (to, body) in sends {
+        for (to, body, slot) in sends {
             let beat = matches!(body, Body::Digest { .. }) && self.papers.is_on();
-            let news = self.view.beside();
+            let news = self.view.beside(slot);
             self.push(to, body, news);
             if beat {
                 self.push(to, self.papers.word(now), Vec::new());
             }
         }
-        self.loans.tick(now, &self.view.live());
+        self.loans.tick(now, &self.view.steady(now));
         self.spread.tick(now);
         self.papers.tick(now);
-        self.settle();
+        self.remember(now);
+        self.settle(now);
     }
 
     pub fn next_wake(&self) -> Instant {
@@ -315,13 +426,13 @@
     pub fn leave(&mut self, now: Instant) {
         self.loans.leave(now);
         self.loans.tick(now, &self.view.live());
-        self.settle();
+        self.settle(now);
     }
 
     /// The last word, when its parts are lent.
-    pub fn left(&mut self) {
+    pub fn left(&mut self, now: Instant) {
         self.view.leave();
-        self.settle();
+        self.settle(now);
     }
 
     /// An order that this host took itself, or had kept.
@@ -333,12 +444,12 @@
     pub fn paper_taken(&mut self, now: Instant, number: u64, mark: u64, text: Bytes, ends: Instant) {
         self.papers.taken(now, number, mark, text, ends);
         let word = self.papers.word(now);
-        for slot in self.view.pick(TOLD, None) {
+        for slot in self.view.pick(now, TOLD, None) {
             if let Some(to) = self.view.address(slot) {
                 self.push(to, word.clone(), Vec::new());
             }
         }
-        self.settle();
+        self.settle(now);
     }
 
     pub fn cleared(&mut self, name: Name) {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,34 +1,136 @@
 //! Who is there: failure detection by pings, pings through others, suspicion and incarnations, as SWIM has it (Das, Gupta
-//! and Motivala, 2002), with digests between pairs so that views meet after a partition. What it says may be wrong: it
-//! costs service, never a rule.
+//! and Motivala, 2002), with local health, confirmed suspicions and word to the suspect as Lifeguard has them (Dadgar,
+//! Phillips and Currey, 2017), and digests between pairs so that views meet after a partition. What it says may be wrong:
+//! it costs service, never a rule. docs/membership.md has what it promises, as formulas.
 
+mod call;
+mod probe;
+mod sites;
+mod tell;
+
+pub use sites::{SiteSeen, SiteWord};
+
+use call::Twin;
 use imbl::OrdMap;
+use probe::{Probe, Relay};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use tackmast::interface::{Instant, Span};
 use tackmast_wire::peer::{Body, Health, News, MOST_NEWS};
+use tell::Telling;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ViewSettings {
     pub period: Span,
-    /// Hosts that are known at a time, at most.
+    /// Hosts' numbers are below this, as told; news of others are refused.
     pub most: usize,
+    pub ways: Ways,
 }
 
-/// Part of a period after which an unanswered ping is tried through others, and of which that has its end.
-const DIRECT: f64 = 0.3;
-const INDIRECT: f64 = 0.9;
-const HELPERS: usize = 3;
-/// Periods of suspicion, times the logarithm of how many are there.
-const SUSPICION: f64 = 2.0;
-/// Each line of news goes out so many times the logarithm of how many are there.
-const RETELL: f64 = 3.0;
-/// Lines of news beside another message.
-const BESIDE: usize = 8;
-/// Every so many periods one that is not there, or a seed, is pinged: partitions heal.
-const RETRY: u32 = 4;
-/// Pings for others that are remembered.
-const RELAYS: usize = 64;
+/// What the view does beyond plain SWIM. Each can be left out, so that its worth can be measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ways {
+    /// A host that misses answers, or hears nobody, waits longer before it accuses others.
+    pub local_health: bool,
+    /// Suspicions that several share end sooner, those of one alone later.
+    pub confirm: bool,
+    /// A host that stood still says nothing of the time in which it did.
+    pub own_pause: bool,
+    /// Who is suspected or held dead is told so when it is heard.
+    pub told_back: bool,
+    /// Each datagram is its sender's word on itself, with its incarnation.
+    pub own_word: bool,
+    /// Hosts known by an earlier life are called, and more of those held dead once one of them is heard.
+    pub recall: bool,
+    /// A host that comes and goes is not asked for help until it stays.
+    pub damp: bool,
+    /// A host whose number seems to have a later life looks whether that one runs.
+    pub twin: bool,
+}
+
+impl Ways {
+    pub fn all() -> Ways {
+        Ways::set(true)
+    }
+
+    /// The view as it was before these.
+    pub fn former() -> Ways {
+        Ways::set(false)
+    }
+
+    fn set(on: bool) -> Ways {
+        Ways {
+            local_health: on,
+            confirm: on,
+            own_pause: on,
+            told_back: on,
+            own_word: on,
+            recall: on,
+            damp: on,
+            twin: on,
+        }
+    }
+}
+
+/// Deliberate faults of the view, for days and hunts to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewFault {
+    OldLifeWins,
+    NoRefutation,
+    SuspicionWithoutEnd,
+    /// When views meet, only news of hosts known already are taken.
+    DropsASide,
+    /// Hosts known by an earlier life count as there without a word of theirs.
+    TrustsDisk,
+    /// The address that was heard first stays through all lives.
+    OldAddressWins,
+    /// Who is held dead is never called.
+    NoCalls,
+    /// Whoever goes on after a stop ends all suspicions that ran meanwhile, and its probes have failed.
+    AccusesAfterStop,
+    /// One missed answer is a death.
+    NoSuspicion,
+    /// What was heard last holds, whatever its incarnation.
+    NewsOvertakes,
+    /// Who is held dead is forgotten.
+    ForgetsDead,
+    /// A later life of one's own number is believed in for ever.
+    BelievesTwin,
+    /// The site of an earlier life stays.
+    OldSiteWins,
+    /// A host that came and went is never asked or told anything again.
+    ShutsOut,
+}
+
+impl ViewFault {
+    pub const ALL: [ViewFault; 14] = [
+        ViewFault::OldLifeWins,
+        ViewFault::NoRefutation,
+        ViewFault::SuspicionWithoutEnd,
+        ViewFault::DropsASide,
+        ViewFault::TrustsDisk,
+        ViewFault::OldAddressWins,
+        ViewFault::NoCalls,
+        ViewFault::AccusesAfterStop,
+        ViewFault::NoSuspicion,
+        ViewFault::NewsOvertakes,
+        ViewFault::ForgetsDead,
+        ViewFault::BelievesTwin,
+        ViewFault::OldSiteWins,
+        ViewFault::ShutsOut,
+    ];
+}
+
+/// Periods in which a host is heard directly after which hearsay of its death is no more than a suspicion.
+const HEARD: f64 = 2.0;
+/// Incarnations and lives beyond these are no host's own: a word of them could never be answered by a later one.
+const INCARNATIONS: u32 = 1 << 30;
+const LIVES: u64 = u64::MAX - (1 << 20);
+/// Comings and goings of a host, each counting half after so many periods, from which on it counts as one that flaps.
+const STIRS: f64 = 3.0;
+const STIRS_HALF: f64 = 40.0;
+/// Deaths that are remembered for people.
+const DEATHS: usize = 64;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seen {
@@ -36,22 +138,41 @@
     pub incarnation: u32,
     pub health: Health,
     pub address: SocketAddr,
+    pub site: Option<u32>,
+    /// Of this health.
     pub since: Instant,
+    /// Who suspects it, as far as that counts.
+    by: Vec<u32>,
+    /// When a datagram of its own came last, under this life.
+    heard: Option<Instant>,
+    /// When it stopped being alive, while it is not.
+    lost: Option<Instant>,
+    /// Comings and goings lately, and as of when.
+    stirs: f64,
+    stirred: Instant,
+    told_back: Option<Instant>,
+    /// Found dead while this host heard nobody at all.
+    alone: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Probe {
-    seq: u32,
-    slot: u32,
-    helped: bool,
-    direct_until: Instant,
-    until: Instant,
+impl Seen {
+    fn rank(&self) -> (u64, u32, Health) {
+        (self.life, self.incarnation, self.health)
+    }
+
+    fn is_there(&self) -> bool {
+        matches!(self.health, Health::Alive | Health::Suspect)
+    }
 }
 
-#[derive(Clone, Debug)]
-struct Telling {
-    slot: u32,
-    left: u32,
+/// A host held dead: by this host's own finding, or as heard.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Death {
+    pub slot: u32,
+    pub life: u64,
+    pub incarnation: u32,
+    pub at: Instant,
+    pub own: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,31 +181,84 @@
     /// Suspicions of others that a later word of theirs took back.
     pub refuted: u64,
     pub dead: u64,
+    /// Deaths that this host found itself.
+    pub found_dead: u64,
+    /// Times that this host was accused, and answered.
+    pub accused: u64,
+    /// News of hosts beyond the told number, or of lives and incarnations that none has.
+    pub beyond: u64,
+    /// Times that this host stood still for more than a period.
+    pub pauses: u64,
+    /// Changes of hosts that flap, which are not told of one by one.
+    pub damped: u64,
+    /// Times that a later life of this host's number turned out not to run.
+    pub taken_over: u64,
+}
+
+/// A change, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Health(u32, Health),
+    Flaps(u32),
+    Site(u32, SiteWord),
+    /// It stood still for so long.
+    Paused(Span),
+    /// Its local health, in steps, from 0.
+    Strained(u32),
+    Displaced(u64),
+    TookOver(u64),
 }
 
 pub struct View {
     me: News,
     settings: ViewSettings,
     seeds: Vec<SocketAddr>,
+    /// Addresses that an earlier life knew, still to be called, and how often each was.
+    recalled: VecDeque<(SocketAddr, u32)>,
     seen: OrdMap<u32, Seen>,
     turn: Vec<u32>,
-    probe: Option<Probe>,
-    relays: VecDeque<(u32, SocketAddr, u32, u32)>, // my number, who asks, its number, about whom
+    probes: Vec<Probe>,
+    relays: VecDeque<Relay>,
     tellings: Vec<Telling>,
     seq: u32,
     periods: u32,
     next_period: Instant,
+    /// When this host was to wake, as it last said.
+    due: Instant,
+    /// When any other was heard.
+    heard: Instant,
+    /// When any ping or plea of this host was answered, and when it last heard others again after a silence.
+    answered: Instant,
+    rejoined: Instant,
+    /// Steps of strain: how many times longer answers are waited for.
+    strain: u32,
+    /// Until when those held dead are called more often.
+    thaw: Instant,
     chance: oorandom::Rand64,
-    sends: VecDeque<(SocketAddr, Body)>,
-    /// Changes of health, for the log.
-    changes: VecDeque<(u32, Health)>,
+    sends: VecDeque<(SocketAddr, Body, Option<u32>)>,
+    changes: VecDeque<Change>,
+    deaths: VecDeque<Death>,
+    sites: sites::Sites,
     displaced: bool,
+    twin: Option<Twin>,
+    /// This host took its number back; whether the later life was at its own address.
+    took_over: Option<bool>,
     there: u32,
+    /// When the view changed last, or another's differed.
+    moved: Instant,
+    fault: Option<ViewFault>,
     pub counters: ViewCounters,
 }
 
 impl View {
-    pub fn new(now: Instant, me: News, seeds: Vec<SocketAddr>, settings: ViewSettings, seed: u64) -> Self {
+    pub fn new(
+        now: Instant,
+        me: News,
+        seeds: Vec<SocketAddr>,
+        recalled: Vec<(u32, SocketAddr)>,
+        settings: ViewSettings,
+        seed: u64,
+    ) -> Self {
         let mut chance = oorandom::Rand64::new(u128::from(seed));
         // Hosts that start at once do not ping at once.
         let first = Span::from_secs(settings.period.secs() * chance.rand_float());
@@ -92,26 +266,63 @@
             me,
             settings,
             seeds,
+            recalled: VecDeque::new(),
             seen: OrdMap::new(),
             turn: Vec::new(),
-            probe: None,
+            probes: Vec::new(),
             relays: VecDeque::new(),
             tellings: Vec::new(),
             seq: 0,
             periods: 0,
             next_period: now + first,
+            due: now + first,
+            heard: now,
+            answered: now,
+            rejoined: now,
+            strain: 0,
+            thaw: now,
             chance,
             sends: VecDeque::new(),
             changes: VecDeque::new(),
+            deaths: VecDeque::new(),
+            sites: sites::Sites::default(),
             displaced: false,
+            twin: None,
+            took_over: None,
             there: 0,
+            moved: now,
+            fault: None,
             counters: ViewCounters::default(),
         };
+        if settings.ways.recall {
+            let others = recalled.into_iter().filter(|(s, a)| *s != me.slot && *a != me.address);
+            view.recalled = others.take(settings.most).map(|(_, a)| (a, 0)).collect();
+        }
         view.tell(me.slot);
         view.greet();
         view
     }
 
+    /// With a deliberate fault; `recalled` are hosts that the disk has.
+    pub fn with_fault(mut self, now: Instant, fault: ViewFault, recalled: &[(u32, u64, SocketAddr)]) -> Self {
+        self.fault = Some(fault);
+        if fault == ViewFault::TrustsDisk {
+            for (slot, life, address) in recalled.iter().copied() {
+                let (incarnation, health, site, by) = (0, Health::Alive, None, None);
+                self.learn(now, News { slot, life, incarnation, health, address, site, by });
+            }
+        }
+        self
+    }
+
+    fn has(&self, fault: ViewFault) -> bool {
+        self.fault == Some(fault)
+    }
+
+    fn periods(&self, n: f64) -> Span {
+        Span::from_secs(n * self.settings.period.secs())
+    }
+
     /// A snapshot that stays as it is while this goes on.
     pub fn snapshot(&self) -> OrdMap<u32, Seen> {
         self.seen.clone()
@@ -125,10 +336,13 @@
         self.seen.get(&slot).map(|s| s.address)
     }
 
+    pub fn life(&self, slot: u32) -> Option<u64> {
+        self.seen.get(&slot).map(|s| s.life)
+    }
+
     fn put(&mut self, slot: u32, seen: Seen) {
-        let is_there = |s: &Seen| u32::from(matches!(s.health, Health::Alive | Health::Suspect));
-        let now = is_there(&seen);
-        let before = self.seen.insert(slot, seen).map_or(0, |s| is_there(&s));
+        let now = u32::from(seen.is_there());
+        let before = self.seen.insert(slot, seen).map_or(0, |s| u32::from(s.is_there()));
         self.there = self.there + now - before;
     }
 
@@ -143,8 +357,30 @@
     }
 
     pub fn live(&self) -> BTreeSet<u32> {
-        let there = |s: &Seen| matches!(s.health, Health::Alive | Health::Suspect);
-        self.seen.iter().filter(|(_, s)| there(s)).map(|(slot, _)| *slot).collect()
+        self.seen.iter().filter(|(_, s)| s.is_there()).map(|(slot, _)| *slot).collect()
+    }
+
+    /// Those of them that do not come and go.
+    pub fn steady(&self, now: Instant) -> BTreeSet<u32> {
+        let steady = |s: &Seen| s.is_there() && !self.flaps(now, s);
+        self.seen.iter().filter(|(_, s)| steady(s)).map(|(slot, _)| *slot).collect()
+    }
+
+    fn stirs(&self, now: Instant, s: &Seen) -> f64 {
+        let halves = (now - s.stirred).secs() / self.periods(STIRS_HALF).secs().max(1e-9);
+        s.stirs * 0.5f64.powf(halves.max(0.0))
+    }
+
+    /// Whether a host comes and goes too often to be asked for help. It is pinged, listed and told all the same.
+    fn flaps(&self, now: Instant, s: &Seen) -> bool {
+        if self.has(ViewFault::ShutsOut) {
+            return s.stirs >= 1.0;
+        }
+        self.settings.ways.damp && self.stirs(now, s) >= STIRS
+    }
+
+    pub fn is_flapping(&self, now: Instant, slot: u32) -> bool {
+        self.seen.get(&slot).is_some_and(|s| self.flaps(now, s))
     }
 
     /// Another life of this slot has been heard of, later than this one.
@@ -152,30 +388,58 @@
         self.displaced
     }
 
-    pub fn next_send(&mut self) -> Option<(SocketAddr, Body)> {
+    /// This host has taken its number back under a new life; true: the later one was known at this host's own address, so
+    /// that it can't run.
+    pub fn next_take_over(&mut self) -> Option<bool> {
+        self.took_over.take()
+    }
+
+    pub fn next_send(&mut self) -> Option<(SocketAddr, Body, Option<u32>)> {
         self.sends.pop_front()
     }
 
-    pub fn next_change(&mut self) -> Option<(u32, Health)> {
+    pub fn next_change(&mut self) -> Option<Change> {
         self.changes.pop_front()
     }
 
-    pub fn next_wake(&self) -> Instant {
-        let probe = self.probe.as_ref().map(|p| if p.helped { p.until } else { p.direct_until });
-        probe.map_or(self.next_period, |t| t.min(self.next_period))
+    pub fn deaths(&self) -> impl Iterator<Item = &Death> {
+        self.deaths.iter()
+    }
+
+    pub fn strain(&self) -> u32 {
+        self.strain
+    }
+
+    /// For how long nothing has changed here, and nobody has been heard of who knew otherwise.
+    pub fn still(&self, now: Instant) -> Span {
+        now - self.moved
+    }
+
+    /// Others that have not left, by number, with their lives and where they were reached.
+    pub fn known(&self) -> impl Iterator<Item = (u32, u64, SocketAddr)> + '_ {
+        let known = self.seen.iter().filter(|(_, s)| s.health != Health::Left);
+        known.map(|(slot, s)| (*slot, s.life, s.address))
     }
 
     /// Of all that is known, for comparing.
     pub fn digest(&self) -> u32 {
         let mut sum = 0u32;
-        let me = (self.me.slot, self.me.life, self.me.incarnation, self.me.health);
-        let all = self.seen.iter().map(|(slot, s)| (*slot, s.life, s.incarnation, s.health));
-        for (slot, life, incarnation, health) in all.chain([me]) {
-            let mut bytes = [0u8; 17];
+        let all =
+            self.seen.iter().map(|(slot, s)| (*slot, s.life, s.incarnation, s.health, s.address, s.site));
+        let m = &self.me;
+        let me = (m.slot, m.life, m.incarnation, m.health, m.address, m.site);
+        for (slot, life, incarnation, health, address, site) in all.chain([me]) {
+            let mut bytes = [0u8; 39];
             bytes[..4].copy_from_slice(&slot.to_be_bytes());
             bytes[4..12].copy_from_slice(&life.to_be_bytes());
             bytes[12..16].copy_from_slice(&incarnation.to_be_bytes());
             bytes[16] = health as u8;
+            match address.ip() {
+                std::net::IpAddr::V4(ip) => bytes[17..21].copy_from_slice(&ip.octets()),
+                std::net::IpAddr::V6(ip) => bytes[17..33].copy_from_slice(&ip.octets()),
+            }
+            bytes[33..35].copy_from_slice(&address.port().to_be_bytes());
+            bytes[35..].copy_from_slice(&site.unwrap_or(u32::MAX).to_be_bytes());
             // Added up, so that the order does not matter.
             sum = sum.wrapping_add(crc32c::crc32c(&bytes));
         }
@@ -184,116 +448,225 @@
 
     /// All that is known, in pieces of one datagram.
     pub fn all_news(&self) -> Vec<Vec<News>> {
-        let of = |(slot, s): (&u32, &Seen)| News {
-            slot: *slot,
-            life: s.life,
-            incarnation: s.incarnation,
-            health: s.health,
-            address: s.address,
-        };
-        let all: Vec<News> = self.seen.iter().map(of).chain([self.me]).collect();
+        let all: Vec<News> = self
+            .seen
+            .iter()
+            .filter(|(_, s)| !s.alone)
+            .filter_map(|(k, _)| self.news_of(*k))
+            .chain([self.me])
+            .collect();
         all.chunks(MOST_NEWS).map(<[News]>::to_vec).collect()
     }
 
-    /// What goes along with any message: what was told least often first.
-    pub fn beside(&mut self) -> Vec<News> {
-        self.tellings.sort_by_key(|t| std::cmp::Reverse(t.left));
-        let slots: Vec<u32> = self.tellings.iter().take(BESIDE).map(|t| t.slot).collect();
-        for t in self.tellings.iter_mut().take(BESIDE) {
-            t.left -= 1;
-        }
-        self.tellings.retain(|t| t.left > 0);
-        slots.into_iter().filter_map(|s| self.news_of(s)).collect()
-    }
-
     fn news_of(&self, slot: u32) -> Option<News> {
         if slot == self.me.slot {
             return Some(self.me);
         }
         let s = self.seen.get(&slot)?;
-        Some(News { slot, life: s.life, incarnation: s.incarnation, health: s.health, address: s.address })
+        Some(News {
+            slot,
+            life: s.life,
+            incarnation: s.incarnation,
+            health: s.health,
+            address: s.address,
+            site: s.site,
+            by: if s.health == Health::Suspect { s.by.last().copied() } else { None },
+        })
     }
 
     fn log_size(&self) -> f64 {
         ((self.seen.len() + 2) as f64).log2()
     }
 
-    fn tell(&mut self, slot: u32) {
-        let left = (RETELL * self.log_size()).ceil() as u32;
-        self.tellings.retain(|t| t.slot != slot);
-        self.tellings.push(Telling { slot, left });
-    }
-
-    fn greet(&mut self) {
-        for i in 0..self.seeds.len() {
-            let a = self.seeds[i];
-            if a != self.me.address {
-                self.seq = self.seq.wrapping_add(1);
-                self.sends.push_back((a, Body::Ping { seq: self.seq }));
-                let (view, orders) = (self.digest(), 0);
-                self.sends.push_back((a, Body::Digest { view, orders }));
-            }
-        }
-    }
-
-    /// Takes in what a peer said of hosts; later lives, then later incarnations, then worse health win.
+    /// Takes in what a peer said of hosts; later lives, then later incarnations, then worse health win. What is as good
+    /// as what is known changes nothing but who shares a suspicion.
     pub fn learn(&mut self, now: Instant, n: News) {
+        // Against a word that no host could answer by a later one, and numbers that would fill the table.
+        if n.incarnation > INCARNATIONS || n.life > LIVES || n.slot as usize >= self.settings.most {
+            self.counters.beyond += 1;
+            return;
+        }
         if n.slot == self.me.slot {
-            return self.learn_of_me(n);
+            return self.learn_of_me(now, n);
         }
-        let rank = |life: u64, incarnation: u32, health: Health| (life, incarnation, health);
-        let known = self.seen.get(&n.slot).map(|s| rank(s.life, s.incarnation, s.health));
-        if known.is_some_and(|k| k >= rank(n.life, n.incarnation, n.health)) {
+        let Some(s) = self.seen.get(&n.slot) else {
+            if !self.has(ViewFault::DropsASide) || n.health == Health::Alive && self.seen.len() < 2 {
+                self.take(now, n, None);
+            }
             return;
-        }
-        // A full table takes no more, and who is there already stays.
-        if known.is_none() && self.seen.len() >= self.settings.most {
+        };
+        let mut n = n;
+        let (known, said) = (s.rank(), (n.life, n.incarnation, n.health));
+        let overtakes = self.has(ViewFault::NewsOvertakes) && known != said && n.life == s.life;
+        let old_life = self.has(ViewFault::OldLifeWins) && n.life < s.life && n.health == Health::Alive;
+        // What was found while nobody was heard is this host's guess: any word on that host goes before it.
+        let guess = s.alone && n.life == s.life && n.incarnation >= s.incarnation && n.health != Health::Dead;
+        if !guess && !overtakes && !old_life && known >= said {
+            // Two that claim one life from two places: all hosts hold the same one of them.
+            if known == said && (n.address, n.site) > (s.address, s.site) {
+                let seen = Seen { address: n.address, site: n.site, ..s.clone() };
+                self.put(n.slot, seen);
+                self.moved = now;
+                return self.tell(n.slot);
+            }
+            if known == said && n.health == Health::Suspect {
+                self.confirm(n.slot, n.by);
+            }
             return;
         }
-        let before = self.seen.get(&n.slot).map(|s| s.health);
-        if before == Some(Health::Suspect) && n.health == Health::Alive {
+        // Against one host's false word: who is heard here is not dead, it is one that has to answer.
+        let heard = s.heard.is_some_and(|t| now - t <= self.periods(HEARD)) && n.life == s.life;
+        if n.health == Health::Dead && heard && self.settings.ways.told_back {
+            if n.incarnation == s.incarnation && s.health == Health::Suspect {
+                return;
+            }
+            n.health = Health::Suspect;
+        }
+        let s = s.clone();
+        self.take(now, n, Some(&s));
+    }
+
+    /// What is newer than what was known.
+    fn take(&mut self, now: Instant, n: News, before: Option<&Seen>) {
+        let was = before.map(|s| s.health);
+        let new_life = before.is_none_or(|s| s.life != n.life);
+        if was == Some(Health::Suspect) && n.health == Health::Alive {
             self.counters.refuted += 1;
         }
-        if n.health == Health::Dead {
-            self.counters.dead += 1;
+        if n.health == Health::Dead && was != Some(Health::Dead) {
+            self.died(now, &n, false);
+            if self.has(ViewFault::ForgetsDead) {
+                self.there -= before.map_or(0, |s| u32::from(s.is_there()));
+                self.seen.remove(&n.slot);
+                self.tellings.retain(|t| t.slot != n.slot);
+                return;
+            }
+        }
+        let lost = match n.health {
+            Health::Alive => None,
+            _ => before.and_then(|s| s.lost).or(Some(now)),
+        };
+        let (mut stirs, mut stirred) = before.map_or((0.0, now), |s| (s.stirs, s.stirred));
+        let comes_back = n.health == Health::Alive && matches!(was, Some(Health::Dead | Health::Left));
+        if comes_back || (new_life && was.is_some_and(|h| h != Health::Left)) {
+            stirs = before.map_or(0.0, |s| self.stirs(now, s)) + 1.0;
+            stirred = now;
         }
+        let first = |old: SocketAddr| if self.has(ViewFault::OldAddressWins) { old } else { n.address };
         let seen = Seen {
             life: n.life,
             incarnation: n.incarnation,
             health: n.health,
-            address: n.address,
+            address: before.map_or(n.address, |s| first(s.address)),
+            site: if self.has(ViewFault::OldSiteWins) { before.map_or(n.site, |s| s.site) } else { n.site },
             since: now,
+            by: n.by.filter(|_| n.health == Health::Suspect).into_iter().collect(),
+            heard: before.filter(|_| !new_life).and_then(|s| s.heard),
+            lost,
+            stirs,
+            stirred,
+            told_back: None,
+            alone: false,
         };
+        let (flapped, flaps) = (before.is_some_and(|s| self.flaps(now, s)), self.flaps(now, &seen));
         self.put(n.slot, seen);
-        if before != Some(n.health) {
-            self.changes.push_back((n.slot, n.health));
+        self.moved = now;
+        if was != Some(n.health) || (new_life && was.is_some()) {
+            self.changed(n.slot, n.health, flapped, flaps);
         }
         self.tell(n.slot);
     }
 
-    fn learn_of_me(&mut self, n: News) {
+    /// Changes of a host that flaps are one line, not one each.
+    fn changed(&mut self, slot: u32, health: Health, flapped: bool, flaps: bool) {
+        match (flapped, flaps) {
+            (_, false) => self.changes.push_back(Change::Health(slot, health)),
+            (false, true) => self.changes.push_back(Change::Flaps(slot)),
+            (true, true) => self.counters.damped += 1,
+        }
+    }
+
+    fn died(&mut self, now: Instant, n: &News, own: bool) {
+        self.counters.dead += 1;
+        self.counters.found_dead += u64::from(own);
+        if self.deaths.len() >= DEATHS {
+            self.deaths.pop_front();
+        }
+        let (slot, life, incarnation) = (n.slot, n.life, n.incarnation);
+        self.deaths.push_back(Death { slot, life, incarnation, at: now, own });
+    }
+
+    fn learn_of_me(&mut self, now: Instant, n: News) {
         if n.life > self.me.life {
-            self.displaced = true;
-        } else if n.life == self.me.life && n.health > self.me.health && n.incarnation >= self.me.incarnation
-        {
+            return self.displaced_by(now, n.life, n.address);
+        }
+        if n.life < self.me.life {
+            return;
+        }
+        let worse = n.health > self.me.health && n.incarnation >= self.me.incarnation;
+        // Against a word in this host's name that it never said.
+        let later = n.incarnation > self.me.incarnation;
+        if (worse || later) && !self.has(ViewFault::NoRefutation) {
             // Not so: a later word of one's own says it.
             self.me.incarnation = n.incarnation + 1;
+            self.counters.accused += 1;
+            self.moved = now;
+            if self.settings.ways.local_health && worse {
+                self.strain_by(1);
+            }
             self.tell(self.me.slot);
+            // At once, to a few: the suspicion runs out at all who share it.
+            if self.settings.ways.told_back {
+                self.say_to_some();
+            }
+        }
+    }
+
+    /// A datagram of that host's own has come.
+    pub fn heard_from(&mut self, now: Instant, slot: u32, life: u64) {
+        let silent = now - self.heard;
+        self.heard = now;
+        if silent >= self.periods(probe::DEAF) {
+            self.hears_again(now);
+        }
+        let Some(s) = self.seen.get(&slot).filter(|s| s.life == life).cloned() else { return };
+        let accused = matches!(s.health, Health::Suspect | Health::Dead);
+        if s.health == Health::Dead && self.settings.ways.recall {
+            // What parted is meeting again: more of it may be there.
+            self.thaw = now + self.periods(call::THAW);
         }
+        let due = s.told_back.is_none_or(|t| now - t >= self.settings.period);
+        let tells = accused && due && self.settings.ways.told_back;
+        if tells {
+            let address = s.address;
+            self.sends.push_back((address, Body::Tell, Some(slot)));
+        }
+        let told_back = if tells { Some(now) } else { s.told_back };
+        self.put(slot, Seen { heard: Some(now), told_back, ..s });
+    }
+
+    /// Another's digest was not this host's.
+    pub fn differs(&mut self, now: Instant) {
+        self.moved = now;
     }
 
     /// The host leaves: it says so itself.
     pub fn leave(&mut self) {
         self.me.health = Health::Left;
         self.tell(self.me.slot);
-        let all: Vec<SocketAddr> =
-            self.pick(HELPERS * 2, None).into_iter().filter_map(|s| self.address(s)).collect();
-        all.into_iter().for_each(|a| self.sends.push_back((a, Body::Tell)));
+        self.say_to_some();
+        self.say_to_some();
     }
 
-    /// Some of those that are there, by chance.
-    pub(crate) fn pick(&mut self, n: usize, but: Option<u32>) -> Vec<u32> {
-        let mut all: Vec<u32> = self.live().into_iter().filter(|s| Some(*s) != but).collect();
+    /// Some of those that are there, by chance; those that flap only where there are no others.
+    pub(crate) fn pick(&mut self, now: Instant, n: usize, but: Option<u32>) -> Vec<u32> {
+        let steady = self.steady(now);
+        let of = if steady.iter().any(|s| Some(*s) != but) || self.has(ViewFault::ShutsOut) {
+            steady
+        } else {
+            self.live()
+        };
+        let mut all: Vec<u32> = of.into_iter().filter(|s| Some(*s) != but).collect();
         let n = n.min(all.len());
         for i in 0..n {
             let j = i + self.chance.rand_range(0..(all.len() - i) as u64) as usize;
@@ -303,126 +676,35 @@
         all
     }
 
-    pub fn heard(&mut self, from: SocketAddr, slot: u32, body: &Body) {
-        match body {
-            Body::Ping { seq } => self.sends.push_back((from, Body::Ack { seq: *seq })),
-            Body::Ack { seq } => {
-                _ = self.probe.take_if(|p| p.seq == *seq && p.slot == slot);
-                if let Some(i) =
-                    self.relays.iter().position(|(mine, _, _, about)| mine == seq && *about == slot)
-                {
-                    if let Some((_, asker, theirs, about)) = self.relays.remove(i) {
-                        self.sends.push_back((asker, Body::Vouch { seq: theirs, slot: about }));
-                    }
-                }
-            }
-            Body::Vouch { seq, slot: about } => {
-                _ = self.probe.take_if(|p| p.seq == *seq && p.slot == *about);
-            }
-            Body::PingFor { seq, slot: about } => {
-                let Some(address) = self.address(*about) else { return };
-                self.seq = self.seq.wrapping_add(1);
-                if self.relays.len() >= RELAYS {
-                    self.relays.pop_front();
-                }
-                self.relays.push_back((self.seq, from, *seq, *about));
-                self.sends.push_back((address, Body::Ping { seq: self.seq }));
-            }
-            _ => {}
-        }
+    fn next_seq(&mut self) -> u32 {
+        self.seq = self.seq.wrapping_add(1);
+        self.seq
     }
 
-    pub fn tick(&mut self, now: Instant) {
-        self.end_suspicions(now);
-        if let Some(p) = self.probe.clone() {
-            if now >= p.until {
-                self.probe = None;
-                self.suspect(now, p.slot);
-            } else if now >= p.direct_until && !p.helped {
-                for helper in self.pick(HELPERS, Some(p.slot)) {
-                    if let Some(a) = self.address(helper) {
-                        self.sends.push_back((a, Body::PingFor { seq: p.seq, slot: p.slot }));
-                    }
-                }
-                self.probe = Some(Probe { helped: true, ..p });
-            }
-        }
-        if now < self.next_period {
-            return;
-        }
-        self.next_period = now + self.settings.period;
-        self.periods = self.periods.wrapping_add(1);
-        if self.me.health == Health::Left {
-            return;
-        }
-        self.next_probe(now);
-        if let Some(a) = self.pick(1, None).first().and_then(|s| self.address(*s)) {
-            let (view, orders) = (self.digest(), 0);
-            self.sends.push_back((a, Body::Digest { view, orders }));
-        }
-        if self.periods.is_multiple_of(RETRY) || self.seen.is_empty() {
-            self.retry();
-        }
+    pub fn next_wake(&self) -> Instant {
+        let probes = self.probes.iter().map(|p| if p.helped { p.until } else { p.direct_until });
+        let relays = self.relays.iter().map(|r| r.until);
+        probes.chain(relays).fold(self.next_period, Instant::min)
     }
 
-    /// All are pinged in turn, in an order by chance.
-    fn next_probe(&mut self, now: Instant) {
-        let live = self.live();
-        let slot = loop {
-            let Some(slot) = self.turn.pop() else {
-                if live.is_empty() {
-                    return;
+    pub fn tick(&mut self, now: Instant) {
+        self.stood_still(now);
+        self.end_suspicions(now);
+        self.end_probes(now);
+        self.stands_by(now);
+        if now >= self.next_period {
+            self.next_period = now + self.settings.period;
+            self.periods = self.periods.wrapping_add(1);
+            if self.me.health != Health::Left {
+                self.next_probe(now);
+                if let Some(slot) = self.pick(now, 1, None).first().copied() {
+                    self.send_digest(self.address(slot), Some(slot));
                 }
-                self.turn = self.pick(live.len(), None);
-                continue;
-            };
-            if live.contains(&slot) {
-                break slot;
+                self.calls(now);
+                self.look_for_twin(now);
             }
-        };
-        let Some(address) = self.address(slot) else { return };
-        self.seq = self.seq.wrapping_add(1);
-        let (seq, period) = (self.seq, self.settings.period.secs());
-        let after = |part: f64| now + Span::from_secs(part * period);
-        self.probe =
-            Some(Probe { seq, slot, helped: false, direct_until: after(DIRECT), until: after(INDIRECT) });
-        self.sends.push_back((address, Body::Ping { seq }));
-    }
-
-    /// One that is thought dead may be back behind a partition that has healed; a seed may know others.
-    fn retry(&mut self) {
-        let dead = self.seen.iter().filter(|(_, s)| s.health == Health::Dead).map(|(_, s)| s.address);
-        let known: BTreeSet<SocketAddr> = self.live().iter().filter_map(|s| self.address(*s)).collect();
-        let me = self.me.address;
-        let seeds = self.seeds.iter().copied().filter(|a| *a != me && !known.contains(a));
-        let all: Vec<SocketAddr> = dead.chain(seeds).collect();
-        if !all.is_empty() {
-            let a = all[self.chance.rand_range(0..all.len() as u64) as usize];
-            self.seq = self.seq.wrapping_add(1);
-            self.sends.push_back((a, Body::Ping { seq: self.seq }));
-            let (view, orders) = (self.digest(), 0);
-            self.sends.push_back((a, Body::Digest { view, orders }));
-        }
-    }
-
-    fn suspect(&mut self, now: Instant, slot: u32) {
-        let Some(s) = self.seen.get(&slot).filter(|s| s.health == Health::Alive).cloned() else { return };
-        self.counters.suspected += 1;
-        self.put(slot, Seen { health: Health::Suspect, since: now, ..s });
-        self.changes.push_back((slot, Health::Suspect));
-        self.tell(slot);
-    }
-
-    fn end_suspicions(&mut self, now: Instant) {
-        let long = Span::from_secs(SUSPICION * self.log_size() * self.settings.period.secs());
-        let over = |s: &Seen| s.health == Health::Suspect && now - s.since >= long;
-        let dead: Vec<u32> = self.seen.iter().filter(|(_, s)| over(s)).map(|(slot, _)| *slot).collect();
-        for slot in dead {
-            let Some(s) = self.seen.get(&slot).cloned() else { continue };
-            self.counters.dead += 1;
-            self.put(slot, Seen { health: Health::Dead, since: now, ..s });
-            self.changes.push_back((slot, Health::Dead));
-            self.tell(slot);
+            self.look_at_sites(now);
         }
+        self.due = self.next_wake();
     }
 }
--- a/crates/membership/tests/member.rs
+++ b/crates/membership/tests/member.rs
@@ -17,9 +17,11 @@
         slot: 0,
         life,
         address: address(0),
+        site: Some(0),
         seeds: vec![],
+        recalled: vec![],
         admit: vec!["10.0.0.0/16".parse().unwrap()],
-        view: ViewSettings { period: secs(0.5), most: 5 },
+        view: ViewSettings { period: secs(0.5), most: 5, ways: Ways::all() },
         loans: LoanSettings { term: secs(1.0), leave_term: secs(10.0), drift: 0.001, owned: 0.9 },
         shared: vec![Shared { volume: 1, limit: 100.0, owners: vec![0, 1, 2] }],
         left: false,
@@ -29,11 +31,11 @@
 }
 
 fn datagram(slot: u32, life: u64, body: Body, news: Vec<News>) -> Bytes {
-    Datagram { fleet: "f".into(), slot, life, body, news }.to_bytes()
+    Datagram { fleet: "f".into(), me: self::news(slot, life, 0, Health::Alive), body, news }.to_bytes()
 }
 
 fn news(slot: u32, life: u64, incarnation: u32, health: Health) -> News {
-    News { slot, life, incarnation, health, address: address(slot) }
+    News { slot, life, incarnation, health, address: address(slot), site: Some(slot % 2), by: None }
 }
 
 #[test]
--- /dev/null
+++ b/crates/membership/tests/view.rs
@@ -0,0 +1,241 @@
+//! One view alone, fed by hand: what it takes in, whom it accuses, when it holds back, and what it says of sites.
+
+use std::net::SocketAddr;
+use tackmast::interface::{Instant, Span};
+use tackmast_membership::*;
+use tackmast_wire::peer::Body;
+
+fn address(h: u32) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, h as u8], 7000))
+}
+
+fn news(slot: u32, life: u64, incarnation: u32, health: Health) -> News {
+    News { slot, life, incarnation, health, address: address(slot), site: Some(slot % 3), by: None }
+}
+
+fn at(periods: f64) -> Instant {
+    Instant::from_secs(100.0 + periods)
+}
+
+/// Of host 0, with periods of a second; it has heard of hosts 1 to n.
+fn view(n: u32, ways: Ways) -> View {
+    let settings = ViewSettings { period: Span::from_secs(1.0), most: 20, ways };
+    let mut v = View::new(at(0.0), news(0, 50, 0, Health::Alive), vec![], vec![], settings, 7);
+    for h in 1..=n {
+        v.learn(at(0.0), news(h, 10, 0, Health::Alive));
+        v.heard_from(at(0.0), h, 10);
+    }
+    v
+}
+
+/// Ticks up to then; `answers` of the hosts' pings come back at once, and each of those hosts is heard each period.
+fn run(v: &mut View, from: f64, to: f64, answers: &[u32], heard: &[u32]) {
+    let mut t = from;
+    while t < to {
+        v.tick(at(t));
+        let sends: Vec<_> = std::iter::from_fn(|| v.next_send()).collect();
+        for (a, body, _) in sends {
+            let Some(h) = answers.iter().copied().find(|h| address(*h) == a) else { continue };
+            match body {
+                Body::Ping { seq } => v.heard(at(t), a, h, &Body::Ack { seq }),
+                Body::PingFor { seq, slot } if !answers.contains(&slot) => {
+                    v.heard(at(t), a, h, &Body::Nay { seq, slot })
+                }
+                Body::PingFor { seq, slot } => v.heard(at(t), a, h, &Body::Vouch { seq, slot }),
+                _ => {}
+            }
+        }
+        heard.iter().for_each(|h| v.heard_from(at(t), *h, 10));
+        t += 0.1;
+    }
+}
+
+fn health(v: &View, h: u32) -> Option<Health> {
+    v.snapshot().get(&h).map(|s| s.health)
+}
+
+#[test]
+fn who_is_accused_and_who_is_given_time() {
+    use Health::*;
+    let former = Ways { local_health: false, ..Ways::all() };
+    // Whose answers come, who is heard, the ways, and what holds of host 1 then, after so many periods.
+    type Case<'a> = (&'a str, &'a [u32], &'a [u32], Ways, f64, Health);
+    let cases: &[Case] = &[
+        ("all answer", &[1, 2, 3, 4, 5], &[1, 2, 3, 4, 5], Ways::all(), 60.0, Alive),
+        ("one is gone, and others say so", &[2, 3, 4, 5], &[2, 3, 4, 5], Ways::all(), 60.0, Dead),
+        ("one hears nothing, but speaks", &[2, 3, 4, 5], &[1, 2, 3, 4, 5], Ways::all(), 80.0, Dead),
+        ("nobody answers, all are heard", &[], &[1, 2, 3, 4, 5], Ways::all(), 60.0, Alive),
+        ("the same without local health", &[], &[1, 2, 3, 4, 5], former, 60.0, Dead),
+        ("nobody is heard for a while", &[], &[], Ways::all(), 20.0, Alive),
+        ("nobody is heard for long", &[], &[], Ways::all(), 120.0, Dead),
+    ];
+    for (name, answers, heard, ways, periods, expected) in cases {
+        let mut v = view(5, *ways);
+        run(&mut v, 0.0, *periods, answers, heard);
+        assert_eq!(health(&v, 1), Some(*expected), "{name}");
+    }
+}
+
+#[test]
+fn what_was_found_alone_gives_way_to_any_word_and_is_told_only_later() {
+    let mut v = view(3, Ways::all());
+    run(&mut v, 0.0, 120.0, &[], &[]);
+    assert_eq!([1, 2, 3].map(|h| health(&v, h)), [Some(Health::Dead); 3]);
+    let told = |v: &View| v.all_news().into_iter().flatten().filter(|n| n.slot > 0).count();
+    assert_eq!(told(&v), 0, "nobody can have heard it, and nobody shall");
+    // Host 1 is heard, and says that 2 is there; nobody speaks of 3.
+    v.learn(at(121.0), news(1, 10, 0, Health::Alive));
+    v.heard_from(at(121.0), 1, 10);
+    v.learn(at(121.0), news(2, 10, 0, Health::Alive));
+    assert_eq!([1, 2].map(|h| health(&v, h)), [Some(Health::Alive); 2]);
+    run(&mut v, 121.0, 130.0, &[1, 2], &[1, 2]);
+    assert_eq!((health(&v, 3), told(&v)), (Some(Health::Dead), 3), "it stands by what nobody took back");
+}
+
+#[test]
+fn a_stop_is_nobody_elses_fault_and_a_probe_of_an_earlier_life_accuses_none() {
+    for (ways, accuses) in
+        [(Ways::all(), false), (Ways { own_pause: false, local_health: false, ..Ways::all() }, true)]
+    {
+        let mut v = view(5, ways);
+        run(&mut v, 0.0, 10.0, &[1, 2, 3, 4, 5], &[1, 2, 3, 4, 5]);
+        // A ping leaves, and the host stands still for 30 periods.
+        v.tick(at(11.3));
+        v.tick(at(41.0));
+        v.tick(at(41.5));
+        assert_eq!((v.counters.pauses, v.counters.suspected > 0), (1, accuses), "{ways:?}");
+    }
+    let mut v = view(1, Ways::all());
+    v.tick(at(1.5));
+    v.learn(at(1.6), news(1, 11, 0, Health::Alive));
+    v.heard_from(at(1.7), 1, 11);
+    for t in 17..40 {
+        v.tick(at(f64::from(t) / 10.0));
+    }
+    assert_eq!((health(&v, 1), v.counters.suspected), (Some(Health::Alive), 0));
+}
+
+#[test]
+fn a_host_that_flaps_is_pinged_and_listed_but_not_asked_for_help() {
+    let mut v = view(5, Ways::all());
+    let mut lines = Vec::new();
+    for life in 11..20 {
+        v.learn(at(life as f64), news(1, life, 0, Health::Dead));
+        v.learn(at(life as f64), news(1, life + 1, 0, Health::Alive));
+        lines.extend(std::iter::from_fn(|| v.next_change()));
+    }
+    assert!(v.is_flapping(at(20.0), 1) && v.live().contains(&1), "{lines:?}");
+    assert!(!v.steady(at(20.0)).contains(&1));
+    let single = lines.iter().filter(|c| matches!(c, Change::Flaps(1))).count();
+    assert!(single == 1 && lines.len() < 20 && v.counters.damped > 3, "{lines:?}");
+    let mut pinged = false;
+    for t in 200..400 {
+        v.tick(at(f64::from(t) / 10.0));
+        let to_it =
+            |(a, b, _): (SocketAddr, Body, Option<u32>)| a == address(1) && matches!(b, Body::Ping { .. });
+        pinged |= std::iter::from_fn(|| v.next_send()).any(to_it);
+    }
+    assert!(pinged, "never shut out");
+    assert!(!v.is_flapping(at(200.0), 1), "it ends once it stays");
+}
+
+#[test]
+fn who_is_accused_hears_of_it_and_answers_at_once() {
+    let mut v = view(3, Ways::all());
+    v.learn(at(1.0), news(2, 10, 0, Health::Suspect));
+    while v.next_send().is_some() {}
+    v.heard_from(at(1.5), 2, 10);
+    let (to, body, about) = v.next_send().expect("a word to the accused");
+    assert_eq!((to, body, about), (address(2), Body::Tell, Some(2)));
+    assert!(v.beside(Some(2)).iter().any(|n| n.slot == 2 && n.health == Health::Suspect));
+    // This host is accused itself: its answer goes to a few at once.
+    v.learn(at(2.0), news(0, 50, 4, Health::Suspect));
+    assert_eq!((v.me().incarnation, v.counters.accused), (5, 1));
+    assert_eq!(std::iter::from_fn(|| v.next_send()).count(), 3);
+}
+
+#[test]
+fn no_word_is_taken_that_its_host_could_not_answer() {
+    let mut v = view(3, Ways::all());
+    let cases = [
+        news(4, 10, u32::MAX, Health::Alive),
+        news(4, u64::MAX, 0, Health::Alive),
+        news(20, 10, 0, Health::Alive),
+        news(0, 50, u32::MAX, Health::Dead),
+    ];
+    for (i, n) in cases.iter().enumerate() {
+        v.learn(at(1.0), *n);
+        assert_eq!(
+            (v.counters.beyond, v.snapshot().len(), v.me().incarnation),
+            (i as u64 + 1, 3, 0),
+            "{n:?}"
+        );
+    }
+    // A later word in this host's name that it never said is answered by a later one still.
+    v.learn(at(1.0), news(0, 50, 8, Health::Alive));
+    assert_eq!(v.me().incarnation, 9);
+}
+
+#[test]
+fn what_is_said_of_sites() {
+    // Hosts 1 to 9, of sites 1, 2, 0, 1, 2, 0, ...; this host stands in site 0. When each of site 1 falls silent.
+    type Case<'a> = (&'a str, &'a [(u32, f64, Health)], SiteWord);
+    let cases: &[Case] = &[
+        (
+            "together",
+            &[(1, 1.0, Health::Dead), (4, 2.0, Health::Suspect), (7, 4.0, Health::Dead)],
+            SiteWord::Unheard(3),
+        ),
+        (
+            "one by one",
+            &[(1, 1.0, Health::Dead), (4, 20.0, Health::Dead), (7, 40.0, Health::Dead)],
+            SiteWord::Emptied(3),
+        ),
+        ("one is left", &[(1, 1.0, Health::Dead), (4, 2.0, Health::Dead)], SiteWord::There),
+        (
+            "in order",
+            &[(1, 1.0, Health::Left), (4, 2.0, Health::Left), (7, 3.0, Health::Left)],
+            SiteWord::Left,
+        ),
+    ];
+    for (name, falls, word) in cases {
+        let mut v = view(9, Ways::all());
+        for (h, t, health) in *falls {
+            v.learn(at(*t), News { by: Some(2), ..news(*h, 10, 0, *health) });
+        }
+        let site = v.sites().into_iter().find(|s| s.site == Some(1)).unwrap();
+        assert_eq!(site.word, *word, "{name}: {site:?}");
+        assert_eq!(site.alive + site.suspect + site.dead + site.left, 3, "{name}");
+    }
+}
+
+#[test]
+fn a_later_life_of_ones_own_number_is_believed_only_while_it_is_heard() {
+    // Where the later life is known, whether it answers, and whether this host takes its number back; true: as a new life
+    // that shares again.
+    let elsewhere: SocketAddr = "10.0.0.99:7000".parse().unwrap();
+    let cases = [
+        ("at this host's own address", address(0), false, Some(true)),
+        ("elsewhere, silent", elsewhere, false, Some(false)),
+        ("elsewhere, and it speaks", elsewhere, true, None),
+    ];
+    for (name, a, speaks, expected) in cases {
+        let mut v = view(3, Ways::all());
+        let later = News { address: a, ..news(0, 60, 0, Health::Alive) };
+        v.learn(at(1.0), later);
+        assert!(v.is_displaced(), "{name}");
+        let mut taken = None;
+        for t in 10..200 {
+            let now = at(f64::from(t) / 10.0);
+            if speaks && t % 10 == 0 {
+                v.heard_namesake(now, later, a);
+            }
+            (1..4).for_each(|h| v.heard_from(now, h, 10));
+            v.tick(now);
+            taken = taken.or_else(|| v.next_take_over());
+        }
+        assert_eq!(taken, expected, "{name}");
+        let life = if expected.is_some() { 61 } else { 50 };
+        assert_eq!((v.me().life, v.is_displaced()), (life, expected.is_none()), "{name}");
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,11 +6,11 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
 const MAGIC: u16 = 0x746d;
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of one datagram, at most.
 pub const MOST: usize = 1400;
-/// Lines of news in one datagram, and orders, at most.
-pub const MOST_NEWS: usize = 40;
+/// Lines of news in one datagram, and orders, at most: so many fit also where all addresses are of IPv6.
+pub const MOST_NEWS: usize = 28;
 pub const MOST_ORDERS: usize = 2;
 /// Bytes of a fleet's name, of an order's target, and of its reason and name, at most.
 pub const MOST_NAME: usize = 32;
@@ -36,8 +36,15 @@
     pub incarnation: u32,
     pub health: Health,
     pub address: SocketAddr,
+    /// The site that it said it stands in.
+    pub site: Option<u32>,
+    /// Of a suspect: who found that it does not answer.
+    pub by: Option<u32>,
 }
 
+/// How "none" is written of a site and of who suspects.
+const NONE: u32 = u32::MAX;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum OrderKind {
     Out,
@@ -79,6 +86,11 @@
         seq: u32,
         slot: u32,
     },
+    /// It did not answer me either.
+    Nay {
+        seq: u32,
+        slot: u32,
+    },
     /// What the sender knows of hosts and of orders, as digests; who knows otherwise says what it knows.
     Digest {
         view: u32,
@@ -141,8 +153,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Datagram {
     pub fleet: String,
-    pub slot: u32,
-    pub life: u64,
+    /// The sender's own word on itself.
+    pub me: News,
     pub body: Body,
     pub news: Vec<News>,
 }
@@ -205,8 +217,7 @@
         out.put_u16(MAGIC);
         out.put_u8(VERSION);
         put_text(&mut out, &self.fleet, MOST_NAME);
-        out.put_u32(self.slot);
-        out.put_u64(self.life);
+        put_news(&mut out, &self.me);
         match &self.body {
             Body::Ping { seq } => {
                 out.put_u8(1);
@@ -287,15 +298,14 @@
                 out.put_u16(most as u16);
                 out.put_slice(&bytes[..most]);
             }
+            Body::Nay { seq, slot } => {
+                out.put_u8(16);
+                out.put_u32(*seq);
+                out.put_u32(*slot);
+            }
         }
         out.put_u8(self.news.len().min(MOST_NEWS) as u8);
-        for n in self.news.iter().take(MOST_NEWS) {
-            out.put_u32(n.slot);
-            out.put_u64(n.life);
-            out.put_u32(n.incarnation);
-            out.put_u8(n.health as u8);
-            put_address(&mut out, &n.address);
-        }
+        self.news.iter().take(MOST_NEWS).for_each(|n| put_news(&mut out, n));
         out.freeze()
     }
 
@@ -311,14 +321,14 @@
         }
         let version = f.u8("version")?;
         if version != VERSION {
-            return Err(wrong("version", version, "1"));
+            return Err(wrong("version", version, "2"));
         }
         let fleet = f.text("fleet")?;
         if fleet.len() > MOST_NAME {
             let (found, most) = (fleet.len() as u64, MOST_NAME as u64);
             return Err(WireError::TooLong { field: "fleet", found, most });
         }
-        let (slot, life) = (f.u32("host")?, f.u64("life")?);
+        let me = one_news(&mut f)?;
         let body = match f.u8("kind")? {
             1 => Body::Ping { seq: f.u32("number")? },
             2 => Body::Ack { seq: f.u32("number")? },
@@ -368,32 +378,47 @@
                 }
                 Body::PaperPiece { number, piece, pieces, bytes: f.bytes("piece", n)? }
             }
-            other => return Err(wrong("kind", other, "a kind from 1 to 15")),
+            16 => Body::Nay { seq: f.u32("number")?, slot: f.u32("host")? },
+            other => return Err(wrong("kind", other, "a kind from 1 to 16")),
         };
         let n = f.u8("news")?;
         if usize::from(n) > MOST_NEWS {
-            return Err(wrong("news", n, "at most 40"));
+            return Err(wrong("news", n, "at most 28"));
         }
         let news = (0..n).map(|_| one_news(&mut f)).collect::<Result<_, _>>()?;
         f.end("datagram")?;
-        Ok(Datagram { fleet, slot, life, body, news })
+        Ok(Datagram { fleet, me, body, news })
+    }
+}
+
+fn put_news(out: &mut BytesMut, n: &News) {
+    out.put_u32(n.slot);
+    out.put_u64(n.life);
+    out.put_u32(n.incarnation);
+    out.put_u8(n.health as u8);
+    put_address(out, &n.address);
+    out.put_u32(n.site.unwrap_or(NONE));
+    if n.health == Health::Suspect {
+        out.put_u32(n.by.unwrap_or(NONE));
     }
 }
 
 fn one_news(f: &mut Fields) -> Result<News, WireError> {
-    Ok(News {
-        slot: f.u32("host")?,
-        life: f.u64("life")?,
-        incarnation: f.u32("incarnation")?,
-        health: match f.u8("health")? {
-            0 => Health::Alive,
-            1 => Health::Suspect,
-            2 => Health::Dead,
-            3 => Health::Left,
-            other => return Err(wrong("health", other, "0 alive, 1 suspect, 2 dead or 3 left")),
-        },
-        address: address(f)?,
-    })
+    let (slot, life, incarnation) = (f.u32("host")?, f.u64("life")?, f.u32("incarnation")?);
+    let health = match f.u8("health")? {
+        0 => Health::Alive,
+        1 => Health::Suspect,
+        2 => Health::Dead,
+        3 => Health::Left,
+        other => return Err(wrong("health", other, "0 alive, 1 suspect, 2 dead or 3 left")),
+    };
+    let address = address(f)?;
+    let site = Some(f.u32("site")?).filter(|s| *s != NONE);
+    let by = match health {
+        Health::Suspect => Some(f.u32("suspected by")?).filter(|s| *s != NONE),
+        _ => None,
+    };
+    Ok(News { slot, life, incarnation, health, address, site, by })
 }
 
 fn put_order(out: &mut BytesMut, o: &SpreadOrder) {
@@ -445,7 +470,9 @@
             life: i as u64 * 7,
             incarnation: 3,
             health: [Health::Alive, Health::Suspect, Health::Dead, Health::Left][i % 4],
-            address: if i.is_multiple_of(2) { "10.0.0.1:7" } else { "[fd00::1]:9" }.parse().unwrap(),
+            address: if i.is_multiple_of(5) { "10.0.0.1:7" } else { "[fd00::1]:9" }.parse().unwrap(),
+            site: (i % 3 > 0).then_some(i as u32),
+            by: (i % 4 == 1 && i > 1).then_some(7),
         };
         (0..n).map(one).collect()
     }
@@ -474,6 +501,7 @@
             Body::Ping { seq: 1 },
             Body::Ack { seq: 2 },
             Body::PingFor { seq: 3, slot: 4 },
+            Body::Nay { seq: 3, slot: 4 },
             Body::Vouch { seq: 5, slot: 6 },
             Body::Digest { view: 7, orders: 8 },
             Body::Tell,
@@ -488,7 +516,7 @@
             Body::PaperPiece { number: 27, piece: 28, pieces: 29, bytes: Bytes::from(vec![7; MOST_PIECE]) },
         ] {
             let many = if matches!(body, Body::Orders(_) | Body::PaperPiece { .. }) { 0 } else { MOST_NEWS };
-            let d = Datagram { fleet: "f".repeat(MOST_NAME), slot: 1, life: 2, body, news: news(many) };
+            let d = Datagram { fleet: "f".repeat(MOST_NAME), me: news(2)[1], body, news: news(many) };
             let bytes = d.to_bytes();
             assert!(bytes.len() <= MOST, "{}: {d:?}", bytes.len());
             assert_eq!(Datagram::decode(bytes), Ok(d));
@@ -499,7 +527,7 @@
         #[test]
         fn no_bytes_panic_and_no_cut_passes(bytes in proptest::collection::vec(any::<u8>(), 0..200), cut in 0usize..60) {
             _ = Datagram::decode(Bytes::from(bytes));
-            let d = Datagram { fleet: "fleet".into(), slot: 9, life: 8, body: Body::Orders(vec![order("why")]), news: news(3) };
+            let d = Datagram { fleet: "fleet".into(), me: news(1)[0], body: Body::Orders(vec![order("why")]), news: news(3) };
             let whole = d.to_bytes();
             prop_assert!(Datagram::decode(whole.slice(..whole.len().saturating_sub(cut + 1))).is_err());
         }
