--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -471,7 +471,7 @@
             incarnation: 3,
             health: [Health::Alive, Health::Suspect, Health::Dead, Health::Left][i % 4],
             address: if i.is_multiple_of(5) { "10.0.0.1:7" } else { "[fd00::1]:9" }.parse().unwrap(),
-            site: (i % 3 > 0).then_some(i as u32),
+            site: (!i.is_multiple_of(3)).then_some(i as u32),
             by: (i % 4 == 1 && i > 1).then_some(7),
         };
         (0..n).map(one).collect()
