--- a/crates/cli/src/stand.rs
+++ b/crates/cli/src/stand.rs
@@ -66,6 +66,7 @@
         cold: a.cold,
         store: Arc::default(),
         receive_bytes: 0,
+        front: None,
         recorder: Recorder::default(),
     })
     .map_err(|e| format!("--listen {}: {e}", a.listen))?;
--- a/crates/client/tests/common/mod.rs
+++ b/crates/client/tests/common/mod.rs
@@ -47,6 +47,7 @@
                 cold: false,
                 store: Arc::default(),
                 receive_bytes: 0,
+                front: None,
                 recorder: recorder.clone(),
             })
             .unwrap()
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -6,11 +6,15 @@
 mod play;
 mod registers;
 mod report;
+mod rig;
 mod script;
+mod settled;
 mod traffic;
 
 pub use import::import;
 pub use play::{facts, play, Played, AGEING_STEPS};
 pub use registers::Registers;
 pub use report::{Report, Served};
+pub use rig::{How, Who};
 pub use script::{is_one_of, Action, NodesBlock, Script, TrafficBlock, Trouble};
+pub use settled::{After, ViewSeen};
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -1,5 +1,6 @@
 //! What a day has shown.
 
+use crate::settled::ViewSeen;
 use crate::traffic::Tally;
 use serde::Serialize;
 
@@ -48,6 +49,8 @@
     /// What is wrong beside the rules: bytes, answers, troubles that could not be played.
     pub failures: Vec<String>,
     pub rules: tackmast_rulecheck::Report,
+    /// Of hosts that know of each other.
+    pub view: Option<ViewSeen>,
 }
 
 impl Report {
@@ -95,6 +98,25 @@
         }
         writeln!(f, "{} blocks read were checked against what was written", self.blocks_checked)?;
         write!(f, "{}", self.rules)?;
+        if let Some(v) = &self.view {
+            writeln!(
+                f,
+                "view of {} hosts: {} deaths found, {} of them false; {:.0} bytes a second and {:.1}% of a core a host",
+                v.hosts,
+                v.deaths,
+                v.false_deaths,
+                v.bytes,
+                v.cpu * 100.0
+            )?;
+            for a in &v.after {
+                match a.settled_s {
+                    Some(s) => {
+                        writeln!(f, "    settled {s:.2} s after {}: {:.1} periods", a.fault, s / v.period_s)?
+                    }
+                    None => writeln!(f, "    not settled after {}", a.fault)?,
+                }
+            }
+        }
         for failure in self.failures.iter().take(10) {
             writeln!(f, "FAILED: {failure}")?;
         }
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -116,6 +116,7 @@
             cold: false,
             store: Arc::default(),
             receive_bytes: 0,
+            front: None,
             recorder: recorder.clone(),
         })
         .unwrap()
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -230,6 +230,8 @@
         Action::Surge { times, .. } => put(at, long, Kind::Surge(*times), 0, None),
         Action::Move { .. } => {}
         Action::Plan { .. } => return Err("a change of plans".into()),
+        Action::Hosts { how, .. } => return Err(format!("{how:?} of processes, which only sockets have")),
+        Action::Way { .. } | Action::Apart(_) => return Err("ways, which only sockets have".into()),
         Action::Order { refused: true, .. } => return Err("an order that must be refused".into()),
         Action::Order { hosts, kind, target, nodes, .. } => {
             let mut named = day.named(nodes);
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -96,6 +96,7 @@
                 cold: false,
                 store: Arc::default(),
                 receive_bytes: 0,
+                front: None,
                 recorder: Recorder::off(),
             })
         };
--- a/crates/measure/src/truth.rs
+++ b/crates/measure/src/truth.rs
@@ -106,6 +106,7 @@
             cold: false,
             store: Arc::default(),
             receive_bytes: 0,
+            front: None,
             recorder: Recorder::off(),
         })
     };
--- a/crates/rulecheck/src/rules.rs
+++ b/crates/rulecheck/src/rules.rs
@@ -35,14 +35,14 @@
     let f = &x.facts;
     for c in &x.commands {
         let (host, session, command) = c.name;
-        let due = c.t + c.expiry_us + f.answer_slack_us;
+        let due = x.due(c);
         let mut add = |t, what| {
             let transfer = format!("{host}/{session}/{command}");
             breaks.push(Break { rule: 1, t, transfer, node: String::new(), what });
         };
         match c.answers.as_slice() {
             [] => {
-                let excused = [c.left, c.host_down].into_iter().flatten().any(|t| t <= due);
+                let excused = [c.left, c.lost, c.host_down].into_iter().flatten().any(|t| t <= due);
                 if !excused && due <= x.end {
                     checked += 1;
                     add(due, format!("no answer within {} ms", ms(c.expiry_us)));
@@ -65,7 +65,8 @@
             breaks.push(broken(x, 1, leg, "a leg for no command of any client".into()));
             continue;
         };
-        let over = c.answers.first().map(|(t, _)| *t).or(c.left);
+        let gone = c.left.or(c.lost).map(|t| x.knows(c.name.0, t));
+        let over = c.answers.first().map(|(t, _)| *t).or(gone);
         if let Some(t) = over.filter(|t| leg.t > t + f.skew_us) {
             let what = format!("a leg arrived {} ms after its transfer was over", ms(leg.t - t));
             breaks.push(broken(x, 1, leg, what));
--- a/crates/rulecheck/tests/doctored.rs
+++ b/crates/rulecheck/tests/doctored.rs
@@ -375,3 +375,108 @@
     assert!(!judge(&s.lines()).is_clean());
     assert!(judge(&[]).unfit.is_some_and(|why| why.contains("facts")));
 }
+
+#[test]
+fn what_excuses_a_host_that_stood_still_or_was_cut_off_excuses_nothing_else() {
+    use AnswerKind::Done;
+    use ListedState::Draining;
+    type Play = fn(&mut Script);
+    fn stop(s: &mut Script, host: u32, from: u64, to: u64) -> &mut Script {
+        s.at(from, Event::HostStops { host }).at(to, Event::HostGoes { host })
+    }
+    fn cut(s: &mut Script, side: Side, host: u32, from: u64, to: u64) -> &mut Script {
+        s.at(from, Event::Cut { host, side, on: true }).at(to, Event::Cut { host, side, on: false })
+    }
+    fn lost(s: &mut Script, t: u64) -> &mut Script {
+        let client = || "127.0.0.1:9".to_owned();
+        s.at(50, Event::Session { host: 0, session: 1, client: client() });
+        s.at(t, Event::ConnectionLost { client: client() })
+    }
+    // Expiries are a second, the slack 10 ms, the grace 250 ms.
+    let cases: &[(&str, u8, Play)] = &[
+        ("answered as soon as it went on", 0, |s| {
+            _ = stop(s, 0, 200, 3000).submit(300, 1, 0).answer(3005, 1, Done)
+        }),
+        ("answered late after it went on", 1, |s| {
+            _ = stop(s, 0, 200, 3000).submit(300, 1, 0).answer(3050, 1, Done)
+        }),
+        ("never answered after it went on", 1, |s| _ = stop(s, 0, 200, 3000).submit(300, 1, 0)),
+        ("a stop that was over in time", 1, |s| {
+            _ = stop(s, 0, 200, 500).submit(300, 1, 0).answer(1350, 1, Done)
+        }),
+        ("a stop before it was asked", 1, |s| _ = stop(s, 0, 10, 90).submit(100, 1, 0).answer(1150, 1, Done)),
+        ("a stop after it was due", 1, |s| {
+            _ = stop(s, 0, 1200, 3000).submit(100, 1, 0).answer(3005, 1, Done)
+        }),
+        ("another host's stop", 1, |s| _ = stop(s, 1, 200, 3000).submit(300, 1, 0).answer(3005, 1, Done)),
+        ("two answers, whatever stood still", 1, |s| {
+            stop(s, 0, 200, 3000).submit(300, 1, 0).answer(3005, 1, Done).answer(3006, 1, Done);
+        }),
+        ("a leg for who left while it stood still", 0, |s| {
+            s.submit(100, 1, 0).at(300, Event::Left { host: 0, session: 1, command: 1 });
+            stop(s, 0, 200, 3000).leg(3001, "a", 1, 0);
+        }),
+        ("a leg long after it knew", 1, |s| {
+            s.submit(100, 1, 0).at(300, Event::Left { host: 0, session: 1, command: 1 });
+            stop(s, 0, 200, 3000).leg(3100, "a", 1, 0);
+        }),
+        ("told to drain while it stood still", 0, |s| {
+            stop(s, 0, 100, 3000).told(200, 0, "a", Draining, 0).served(3200, "a", 1, 0);
+        }),
+        ("told to drain, and the grace is over since it went on", 3, |s| {
+            stop(s, 0, 100, 3000).told(200, 0, "a", Draining, 0).served(3400, "a", 1, 0);
+        }),
+        ("told to drain before it stood still", 3, |s| {
+            s.told(100, 0, "a", Draining, 0);
+            stop(s, 0, 200, 3000).served(3100, "a", 1, 0);
+        }),
+        ("told to drain over a way that was cut", 0, |s| {
+            cut(s, Side::List, 0, 100, 3000).told(200, 0, "a", Draining, 0).served(1000, "a", 1, 0);
+        }),
+        ("told again when the way was whole", 3, |s| {
+            cut(s, Side::List, 0, 100, 3000).told(200, 0, "a", Draining, 0).told(3100, 0, "a", Draining, 0);
+            s.served(3500, "a", 1, 0);
+        }),
+        ("told before the way was cut", 3, |s| {
+            s.told(50, 0, "a", Draining, 0);
+            cut(s, Side::List, 0, 100, 3000).served(1000, "a", 1, 0);
+        }),
+        ("another host's list was cut off", 3, |s| {
+            cut(s, Side::List, 1, 100, 3000).told(200, 0, "a", Draining, 0).served(1000, "a", 1, 0);
+        }),
+        ("lost with its connection", 0, |s| {
+            cut(s, Side::Clients, 0, 200, 3000).submit(300, 1, 0);
+            lost(s, 3005);
+        }),
+        ("cut off, not lost, and never answered", 1, |s| {
+            _ = cut(s, Side::Clients, 0, 200, 3000).submit(300, 1, 0)
+        }),
+        ("cut off, and answered once the way was whole", 0, |s| {
+            cut(s, Side::Clients, 0, 200, 3000).submit(300, 1, 0).answer(3005, 1, Done);
+        }),
+        ("lost long after it was due", 1, |s| {
+            s.submit(100, 1, 0);
+            lost(s, 3005);
+        }),
+        ("lost in time", 0, |s| {
+            s.submit(100, 1, 0);
+            lost(s, 500);
+        }),
+        ("another session's connection was lost", 1, |s| {
+            s.submit(100, 1, 0).at(50, Event::Session { host: 0, session: 2, client: "127.0.0.1:9".into() });
+            s.at(500, Event::ConnectionLost { client: "127.0.0.1:9".into() });
+        }),
+        ("the list's cut is not the clients'", 1, |s| {
+            cut(s, Side::List, 0, 200, 3000).submit(300, 1, 0).answer(3005, 1, Done);
+        }),
+    ];
+    for (name, rule, play) in cases {
+        let mut s = Script::new();
+        play(&mut s);
+        let report = judge(&s.lines());
+        let broken: Vec<u8> = report.rules.iter().filter(|r| !r.breaks.is_empty()).map(|r| r.rule).collect();
+        let expected: Vec<u8> = (*rule > 0).then_some(*rule).into_iter().collect();
+        assert_eq!(broken, expected, "{name}\n{report}");
+        assert_eq!(report.unfit, None, "{name}");
+    }
+}
--- a/crates/standins/src/initiator.rs
+++ b/crates/standins/src/initiator.rs
@@ -109,6 +109,7 @@
         recorder: Recorder,
     ) -> io::Result<Initiator> {
         let mut stream = TcpStream::connect_timeout(&to.address, to.patience)?;
+        let client = stream.local_addr()?.to_string();
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(to.patience))?;
         stream.set_write_timeout(Some(Duration::from_secs(10)))?;
@@ -182,6 +183,7 @@
             host,
         });
         let session = u32::from(reply.u16(14));
+        inner.recorder.note(Event::Session { host, session, client });
         let reader = inner.clone();
         let run = move || reader.read(reading, units, session);
         std::thread::Builder::new().name("client answers".into()).stack_size(SMALL_STACK).spawn(run)?;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod node;
 pub mod store;
 pub mod tap;
+pub mod ways;
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -59,6 +59,8 @@
     pub store: Arc<Mutex<Store>>,
     /// Bytes that its sockets take while it does not read; 0: as many as the system likes.
     pub receive_bytes: usize,
+    /// The address by which others know it, where that is not its own.
+    pub front: Option<SocketAddr>,
     pub recorder: Recorder,
 }
 
@@ -228,7 +230,13 @@
         Ok(node)
     }
 
+    /// Where hosts reach it, and its name.
     pub fn address(&self) -> SocketAddr {
+        self.0.settings.front.unwrap_or(self.0.address)
+    }
+
+    /// Where it listens itself.
+    pub fn own_address(&self) -> SocketAddr {
         self.0.address
     }
 
@@ -352,7 +360,7 @@
 
 impl Inner {
     fn name(&self) -> String {
-        self.address.to_string()
+        self.settings.front.unwrap_or(self.address).to_string()
     }
 
     fn note_up(&self, s: &State) {
@@ -740,6 +748,7 @@
             cold: false,
             store: Arc::default(),
             receive_bytes: 0,
+            front: None,
             recorder: recorder.clone(),
         })
         .unwrap();
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -92,6 +92,14 @@
     NeverRan,
 }
 
+/// Whom a host is cut off from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Side {
+    Clients,
+    List,
+}
+
 /// A leg as its node sees it: host, life of the host, transfer within that life, and number of the leg.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LegName {
@@ -137,6 +145,28 @@
     HostDown {
         host: u32,
     },
+    /// A host's process stands still, and goes on.
+    HostStops {
+        host: u32,
+    },
+    HostGoes {
+        host: u32,
+    },
+    /// Whoever owns the ways: nothing passes between this host and its clients, or from the list to it; and again it does.
+    Cut {
+        host: u32,
+        side: Side,
+        on: bool,
+    },
+    /// Client side: a session is open over the connection of that local address; the way reset that connection.
+    Session {
+        host: u32,
+        session: u32,
+        client: String,
+    },
+    ConnectionLost {
+        client: String,
+    },
     /// Node side. Capacity in units a second when warm.
     NodeUp {
         node: String,
--- /dev/null
+++ b/days/view/stopped.hcl
@@ -0,0 +1,27 @@
+# A host stands still for longer than its death takes, and goes on; then one after the other stands still for a moment.
+
+day {
+  base           = "base.hcl"
+  seconds        = 8
+  hosts          = 12
+  seed           = 33
+  members        = true
+  sites          = 3
+  exercises      = [1]
+  settled_within = 15
+}
+
+trouble "host 1 stands still" {
+  at_s  = 1
+  for_s = 4
+  host  = "stop"
+  hosts = [1]
+}
+
+trouble "each in turn" {
+  at_s   = 6
+  for_s  = 0.4
+  step_s = 0.1
+  host   = "stop"
+  who    = ["hosts"]
+}
--- /dev/null
+++ b/days/view/third-killed.hcl
@@ -0,0 +1,19 @@
+# A third of the hosts is killed at once and stays away; then they come back at once.
+
+day {
+  base           = "base.hcl"
+  seconds        = 6
+  hosts          = 12
+  seed           = 31
+  members        = true
+  sites          = 3
+  exercises      = [1]
+  settled_within = 15
+}
+
+trouble "a third is killed" {
+  at_s  = 1
+  for_s = 4
+  host  = "kill"
+  who   = ["every/2/3"]
+}
