--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -19,11 +19,152 @@
     /// Prints the report as JSON.
     #[arg(long)]
     json: bool,
+    /// In place of the script's number of hosts; its troubles have to name them by parts.
+    #[arg(long)]
+    hosts: Option<u32>,
+    /// Hosts do not know of each other, whatever the script says.
+    #[arg(long)]
+    alone: bool,
+    /// Plays so many seeds one after the other, from the first, and prints a line each and what they come to.
+    #[arg(long, conflicts_with_all = ["out", "json", "hunt"])]
+    seeds: Option<u64>,
+    /// Draws troubles of processes and ways from one seed after the other for so many minutes, beside what the script has,
+    /// until something is wrong; a find is made smaller, and printed as a script.
+    #[arg(long, value_name = "MINUTES", conflicts_with_all = ["out", "json"])]
+    hunt: Option<f64>,
+}
+
+impl DayArguments {
+    fn script(&self) -> Result<Script, String> {
+        let mut script = Script::read_sized(&self.file, self.hosts).map_err(|e| e.to_string())?;
+        script.day.seed = self.seed.unwrap_or(script.day.seed);
+        if self.alone {
+            (script.day.members, script.day.settled_within) = (false, 0.0);
+        }
+        Ok(script)
+    }
+}
+
+/// Plays it in a folder of its own, which goes afterwards.
+fn play_once(script: &Script) -> Result<tackmast_day::Played, String> {
+    let own = std::env::temp_dir().join(format!("tackmast-day-{}", std::process::id()));
+    std::fs::create_dir_all(&own).map_err(|e| format!("{}: {e}", own.display()))?;
+    let binary = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+    let played = tackmast_day::play(script, &binary, &own, script.day.seed);
+    std::fs::remove_dir_all(&own).map_err(|e| format!("{}: {e}", own.display()))?;
+    played
+}
+
+/// Part of the first tries that were done in time.
+fn in_time(r: &tackmast_day::Report) -> f64 {
+    let (asked, good) =
+        r.served.iter().fold((0, 0.0), |(a, g), s| (a + s.asked, g + s.in_time * s.asked as f64));
+    good / asked.max(1) as f64
+}
+
+fn seeds(a: &DayArguments, count: u64) -> Result<ExitCode, String> {
+    let mut script = a.script()?;
+    let (first, mut good) = (script.day.seed, true);
+    let (mut periods, mut served, mut cost) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut false_deaths, mut unsettled) = (0, 0);
+    let mut by_fault: std::collections::BTreeMap<(usize, String), Vec<Option<f64>>> = Default::default();
+    println!(
+        "{} with {} hosts; stand-ins on loopback; periods from the last fault until settled",
+        a.file.display(),
+        script.day.hosts
+    );
+    println!(
+        "{:>6} {:>8} {:>7} {:>6} {:>12} {:>8} {:>8}  wrong",
+        "seed", "settled", "deaths", "false", "bytes/s host", "cpu", "in time"
+    );
+    for seed in first..first + count.clamp(1, 1000) {
+        script.day.seed = seed;
+        let r = play_once(&script)?.report;
+        let v = r.view.clone().unwrap_or_default();
+        let last = v.last();
+        let wrong = r.failures.len() + r.rules.rules.iter().map(|r| r.breaks.len()).sum::<usize>();
+        good &= r.is_good();
+        println!(
+            "{seed:>6} {:>8} {:>7} {:>6} {:>12.0} {:>7.2}% {:>8.3}  {}",
+            last.map_or("-".into(), |p| format!("{p:.1}")),
+            v.deaths,
+            v.false_deaths,
+            v.bytes,
+            v.cpu * 100.0,
+            in_time(&r),
+            if r.is_good() { String::new() } else { format!("{wrong} things") }
+        );
+        for f in r.failures.iter().take(3) {
+            println!("       {f}");
+        }
+        if !r.rules.is_clean() {
+            print!("{}", r.rules);
+        }
+        for (i, a) in v.after.iter().enumerate() {
+            let p = a.settled_s.map(|s| s / v.period_s.max(1e-9));
+            by_fault.entry((i, a.fault.clone())).or_default().push(p);
+        }
+        match last {
+            Some(p) => periods.push(p),
+            None => unsettled += 1,
+        }
+        false_deaths += v.false_deaths;
+        served.push(in_time(&r));
+        cost.push((v.bytes, v.cpu));
+    }
+    let median = |mut x: Vec<f64>| {
+        x.sort_by(f64::total_cmp);
+        x.get(x.len() / 2).copied().unwrap_or(f64::NAN)
+    };
+    for ((_, fault), all) in &by_fault {
+        let settled: Vec<f64> = all.iter().copied().flatten().collect();
+        println!(
+            "  after {fault}: median {:.1}, most {:.1} periods, {} of {} before the next fault",
+            median(settled.clone()),
+            settled.iter().copied().fold(f64::NAN, f64::max),
+            settled.len(),
+            all.len()
+        );
+    }
+    println!(
+        "settled: median {:.1}, most {:.1} periods, {unsettled} not; {false_deaths} false deaths; {:.0} bytes a second and {:.2}% of a core a host; in time {:.3}",
+        median(periods.clone()),
+        periods.iter().copied().fold(f64::NAN, f64::max),
+        median(cost.iter().map(|c| c.0).collect()),
+        median(cost.iter().map(|c| c.1 * 100.0).collect()),
+        median(served),
+    );
+    Ok(ExitCode::from(u8::from(!good)))
+}
+
+fn hunt(a: &DayArguments, minutes: f64) -> Result<ExitCode, String> {
+    let script = a.script()?;
+    let until =
+        std::time::Instant::now() + std::time::Duration::from_secs_f64(minutes.clamp(0.01, 1440.0) * 60.0);
+    let mut seed = script.day.seed;
+    let is_bad = |s: &Script| play_once(s).map(|p| (!p.report.is_good()).then_some(p.report));
+    while std::time::Instant::now() < until {
+        let drawn = tackmast_day::draw(&script, seed);
+        if let Some(report) = is_bad(&drawn)? {
+            println!("seed {seed}: something is wrong\n{report}");
+            let small = tackmast_day::smaller(drawn, |s| Ok::<_, String>(is_bad(s)?.is_some()))?;
+            println!("made smaller:\n{}", tackmast_day::troubles_text(&small));
+            return Ok(ExitCode::from(1));
+        }
+        println!("seed {seed}: {} troubles, nothing wrong", drawn.troubles.len());
+        seed += 1;
+    }
+    Ok(ExitCode::SUCCESS)
 }
 
 pub fn day(a: &DayArguments) -> Result<ExitCode, String> {
-    let mut script = Script::read(&a.file).map_err(|e| e.to_string())?;
-    script.day.seed = a.seed.unwrap_or(script.day.seed);
+    if let Some(minutes) = a.hunt {
+        return hunt(a, minutes);
+    }
+    if let Some(count) = a.seeds {
+        return seeds(a, count);
+    }
+    let script = a.script()?;
     let kept = a.out.as_ref();
     let own = std::env::temp_dir().join(format!("tackmast-day-{}", std::process::id()));
     let dir = kept.unwrap_or(&own);
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -41,6 +41,17 @@
     overrides_that_end_through_restarts_and_surges = "overrides",
     hosts_that_lend_each_other_parts_of_a_limit = "members",
     limits_that_move_under_load = "plans",
+    hosts_cut_off_from_clients_list_and_nodes = "view/cut-off",
+    a_third_of_the_fleet_is_killed_at_once = "view/third-killed",
+    half_of_the_fleet_joins_within_a_moment = "view/half-joins",
+    two_parts_that_meet_again = "view/parted",
+    three_parts_that_meet_again = "view/three-parts",
+    ways_that_are_cut_in_one_direction = "view/one-way",
+    hosts_that_stand_still_and_go_on = "view/stopped",
+    all_hosts_started_anew_elsewhere = "view/all-anew",
+    two_processes_of_one_number = "view/twins",
+    datagrams_lost_late_and_doubled = "view/lossy",
+    clocks_and_disks_that_go_back = "view/clock-back",
 }
 
 #[test]
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -2,6 +2,7 @@
 //! the clock; records what the sockets show, holds the rules against it, and checks every byte that is read.
 
 mod fleet;
+mod hunt;
 mod import;
 mod play;
 mod registers;
@@ -11,6 +12,7 @@
 mod settled;
 mod traffic;
 
+pub use hunt::{draw, smaller, troubles_text};
 pub use import::import;
 pub use play::{facts, play, Played, AGEING_STEPS};
 pub use registers::Registers;
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -108,6 +108,9 @@
                 v.bytes,
                 v.cpu * 100.0
             )?;
+            for w in v.false_words.iter().take(5) {
+                writeln!(f, "    false: {w}")?;
+            }
             for a in &v.after {
                 match a.settled_s {
                     Some(s) => {
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -341,6 +341,7 @@
     pub action: Action,
 }
 
+#[derive(Clone)]
 pub struct Script {
     pub day: DayBlock,
     pub nodes: Vec<(String, NodesBlock)>,
--- a/crates/day/src/settled.rs
+++ b/crates/day/src/settled.rs
@@ -77,6 +77,8 @@
     /// Deaths that hosts found, and those among them of hosts that were there and reached all the time.
     pub deaths: usize,
     pub false_deaths: usize,
+    /// Of the false ones, in words.
+    pub false_words: Vec<String>,
     /// A second and host, over the day.
     pub bytes: f64,
     pub cpu: f64,
@@ -187,6 +189,13 @@
         let is_false = |((observer, host, _, _), (at, _)): &(&(u32, u32, u64, u32), &(Instant, bool))| {
             !done.excuses(*observer, *host, *at, before)
         };
+        let words = own.clone().filter(is_false).take(20).map(|((observer, host, life, n), (at, _))| {
+            let ago = at.elapsed().as_secs_f64();
+            format!(
+                "host {observer} held host {host} dead (life {life:x}, word {n}), {ago:.2} s before the end"
+            )
+        });
+        let false_words = words.collect();
         let all_sent: u64 = seen.sent.values().sum();
         let each = seconds.max(1e-9) * f64::from(hosts.max(1));
         ViewSeen {
@@ -199,6 +208,7 @@
                 .collect(),
             deaths: own.clone().count(),
             false_deaths: own.filter(is_false).count(),
+            false_words,
             bytes: all_sent as f64 / each,
             cpu: cpu_s / each,
         }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -232,6 +232,7 @@
     rejoined: Instant,
     /// Steps of strain: how many times longer answers are waited for.
     strain: u32,
+    strain_told: bool,
     /// Until when those held dead are called more often.
     thaw: Instant,
     chance: oorandom::Rand64,
@@ -280,6 +281,7 @@
             answered: now,
             rejoined: now,
             strain: 0,
+            strain_told: false,
             thaw: now,
             chance,
             sends: VecDeque::new(),
@@ -367,6 +369,9 @@
     }
 
     fn stirs(&self, now: Instant, s: &Seen) -> f64 {
+        if s.stirs == 0.0 {
+            return 0.0;
+        }
         let halves = (now - s.stirred).secs() / self.periods(STIRS_HALF).secs().max(1e-9);
         s.stirs * 0.5f64.powf(halves.max(0.0))
     }
--- a/crates/membership/src/view/probe.rs
+++ b/crates/membership/src/view/probe.rs
@@ -11,6 +11,8 @@
 const PROBES: usize = 32;
 /// Steps of strain, at most: answers are waited for up to one more than this many times as long.
 const STRAIN: u32 = 8;
+/// Steps by which suspicions last twice as long, and from which on strain is told of.
+const STRAIN_DOUBLES: f64 = 4.0;
 /// Periods of a suspicion as plain SWIM has it here, times the logarithm of how many are there.
 const SUSPICION: f64 = 2.0;
 /// The same for one that others share, at least so many periods, and how many times longer for one that nobody shares.
@@ -98,13 +100,15 @@
     pub(super) fn strain_by(&mut self, steps: u32) {
         let before = self.strain;
         self.strain = (self.strain + steps).min(STRAIN);
-        if before == 0 && self.strain > 0 || before < STRAIN && self.strain == STRAIN {
+        if !self.strain_told && f64::from(self.strain) >= STRAIN_DOUBLES && f64::from(before) < STRAIN_DOUBLES
+        {
+            self.strain_told = true;
             self.changes.push_back(Change::Strained(self.strain));
         }
     }
 
     fn relieve(&mut self) {
-        if self.strain == 1 {
+        if self.strain == 1 && std::mem::take(&mut self.strain_told) {
             self.changes.push_back(Change::Strained(0));
         }
         self.strain = self.strain.saturating_sub(1);
@@ -323,10 +327,15 @@
             return;
         }
         let at_once = self.has(ViewFault::NoSuspicion);
+        // Where answers get lost so do the words of those who are accused: they get more time to come.
+        let patience = match self.settings.ways.local_health {
+            true => 1.0 + f64::from(self.strain) / STRAIN_DOUBLES,
+            false => 1.0,
+        };
         let over = |s: &Seen| {
             let heard = s.heard.is_some_and(|t| now - t <= self.periods(HEARD));
             let times = if heard && self.settings.ways.told_back { WHILE_HEARD } else { 1.0 };
-            let long = self.periods(times * self.suspicion(s.by.len()));
+            let long = self.periods(times * patience * self.suspicion(s.by.len()));
             s.health == Health::Suspect && (at_once || now - s.since >= long)
         };
         let mut ended: Vec<u32> = self.seen.iter().filter(|(_, s)| over(s)).map(|(slot, _)| *slot).collect();
--- a/crates/rulecheck/src/index.rs
+++ b/crates/rulecheck/src/index.rs
@@ -149,7 +149,8 @@
         let mut last = 0;
         let mut down: HashMap<u32, u64> = HashMap::new();
         let mut sessions: HashMap<&str, (u32, u32)> = HashMap::new();
-        let mut list_cut: HashMap<u32, bool> = HashMap::new();
+        // Several troubles may cut one way: it is whole when the last of them is over.
+        let mut cuts: HashMap<(u32, Side), u32> = HashMap::new();
         // What was said to a host that stood still counts from when it goes on.
         let mut unread: HashMap<u32, Vec<(String, Told)>> = HashMap::new();
         for (i, line) in lines.iter().enumerate() {
@@ -305,17 +306,22 @@
                         x.told.entry((*host, node)).or_default().push(Told { t, ..told });
                     }
                 }
-                Event::Cut { host, side: Side::Clients, on: true } => {
-                    x.client_cuts.entry(*host).or_default().push((t, u64::MAX));
-                }
-                Event::Cut { host, side: Side::Clients, on: false } => close(&mut x.client_cuts, *host, t),
-                Event::Cut { host, side: Side::List, on } => {
-                    list_cut.insert(*host, *on);
-                    // What left the list just before may have been cut off on its way.
-                    let late = |told: &Told| told.listed && told.t + x.facts.skew_us >= t;
-                    if *on {
-                        let of = x.told.iter_mut().filter(|((h, _), _)| h == host);
-                        of.for_each(|(_, all)| all.retain(|w| !late(w)));
+                Event::Cut { host, side, on } => {
+                    let n = cuts.entry((*host, *side)).or_default();
+                    let before = *n;
+                    *n = if *on { before + 1 } else { before.saturating_sub(1) };
+                    match (side, before, *n) {
+                        (Side::Clients, 0, 1) => {
+                            x.client_cuts.entry(*host).or_default().push((t, u64::MAX));
+                        }
+                        (Side::Clients, 1, 0) => close(&mut x.client_cuts, *host, t),
+                        (Side::List, 0, 1) => {
+                            // What left the list just before may have been cut off on its way.
+                            let late = |told: &Told| told.listed && told.t + x.facts.skew_us >= t;
+                            let of = x.told.iter_mut().filter(|((h, _), _)| h == host);
+                            of.for_each(|(_, all)| all.retain(|w| !late(w)));
+                        }
+                        _ => {}
                     }
                 }
                 Event::Session { host, session, client } => {
@@ -329,7 +335,7 @@
                 }
                 Event::Told { host, node, state, started_us } => {
                     // Over a way that is cut nothing is told.
-                    if list_cut.get(host) == Some(&true) {
+                    if cuts.get(&(*host, Side::List)).is_some_and(|n| *n > 0) {
                         continue;
                     }
                     let told = Told { t, state: *state, started_us: *started_us, listed: true };
--- a/crates/rulecheck/src/rules.rs
+++ b/crates/rulecheck/src/rules.rs
@@ -67,7 +67,7 @@
         };
         let gone = c.left.or(c.lost).map(|t| x.knows(c.name.0, t));
         let over = c.answers.first().map(|(t, _)| *t).or(gone);
-        if let Some(t) = over.filter(|t| leg.t > t + f.skew_us) {
+        if let Some(t) = over.filter(|t| leg.t > t.saturating_add(f.skew_us)) {
             let what = format!("a leg arrived {} ms after its transfer was over", ms(leg.t - t));
             breaks.push(broken(x, 1, leg, what));
         }
--- a/crates/rulecheck/tests/doctored.rs
+++ b/crates/rulecheck/tests/doctored.rs
@@ -444,6 +444,14 @@
         ("another host's list was cut off", 3, |s| {
             cut(s, Side::List, 1, 100, 3000).told(200, 0, "a", Draining, 0).served(1000, "a", 1, 0);
         }),
+        ("cut twice, and whole when the last is over", 0, |s| {
+            cut(s, Side::Clients, 0, 200, 1000).submit(300, 1, 0).answer(3005, 1, Done);
+            cut(s, Side::Clients, 0, 300, 3000);
+        }),
+        ("cut twice, and late after the last", 1, |s| {
+            cut(s, Side::Clients, 0, 200, 1000).submit(300, 1, 0).answer(3050, 1, Done);
+            cut(s, Side::Clients, 0, 300, 3000);
+        }),
         ("lost with its connection", 0, |s| {
             cut(s, Side::Clients, 0, 200, 3000).submit(300, 1, 0);
             lost(s, 3005);
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -93,7 +93,7 @@
 }
 
 /// Whom a host is cut off from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Side {
     Clients,
--- /dev/null
+++ b/days/view/clock-back.hcl
@@ -0,0 +1,42 @@
+# Hosts restart with a wall clock ten seconds behind: one with its disk, one without, one with an old disk; one runs too fast.
+
+day {
+  base           = "base.hcl"
+  seconds        = 9
+  hosts          = 12
+  seed           = 40
+  members        = true
+  sites          = 3
+  exercises      = [1]
+  settled_within = 15
+}
+
+trouble "ten seconds behind" {
+  at_s        = 1
+  for_s       = 0.5
+  host        = "clock"
+  clock_off_s = -10
+  hosts       = [4]
+}
+
+trouble "its disk is lost as well" {
+  at_s        = 3
+  for_s       = 0.5
+  host        = "wipe"
+  hosts       = [4]
+}
+
+trouble "an old disk comes back" {
+  at_s  = 4
+  for_s = 1
+  host  = "old-disk"
+  hosts = [6]
+}
+
+trouble "clocks run a twentieth too fast" {
+  at_s       = 5.5
+  for_s      = 0.5
+  host       = "clock"
+  clock_pace = 1.05
+  hosts      = [8]
+}
--- /dev/null
+++ b/days/view/lossy.hcl
@@ -0,0 +1,43 @@
+# A fifth of all datagrams between hosts is lost, the others are late by up to a period and some come twice; one host is killed.
+
+day {
+  base           = "base.hcl"
+  seconds        = 9
+  hosts          = 12
+  seed           = 39
+  members        = true
+  sites          = 3
+  exercises      = [1]
+  settled_within = 15
+}
+
+trouble "a fifth is lost" {
+  at_s  = 1
+  for_s = 7
+  way   = "lose 0.2"
+  from  = ["hosts"]
+  to    = ["hosts"]
+}
+
+trouble "late and out of order" {
+  at_s  = 1
+  for_s = 7
+  way   = "late 0.2"
+  from  = ["hosts"]
+  to    = ["hosts"]
+}
+
+trouble "some come twice" {
+  at_s  = 1
+  for_s = 7
+  way   = "double 0.05"
+  from  = ["hosts"]
+  to    = ["hosts"]
+}
+
+trouble "a host is killed" {
+  at_s  = 4
+  for_s = 4.5
+  host  = "kill"
+  hosts = [7]
+}
--- /dev/null
+++ b/days/view/one-way.hcl
@@ -0,0 +1,30 @@
+# One host is heard by nobody, then another hears nobody; each for longer than deaths take.
+
+day {
+  base           = "base.hcl"
+  seconds        = 12
+  hosts          = 12
+  seed           = 36
+  members        = true
+  sites          = 3
+  exercises      = [1]
+  settled_within = 15
+}
+
+trouble "nobody hears host 4" {
+  at_s    = 1
+  for_s   = 4
+  way     = "cut"
+  from    = ["host/4"]
+  to      = ["hosts"]
+  one_way = true
+}
+
+trouble "host 8 hears nobody" {
+  at_s    = 7
+  for_s   = 4
+  way     = "cut"
+  from    = ["hosts"]
+  to      = ["host/8"]
+  one_way = true
+}
