--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod lab;
 mod log;
 mod measure;
+mod members;
 mod orders;
 mod planner;
 mod plans;
@@ -78,11 +79,8 @@
         #[command(flatten)]
         hosts: orders::Hosts,
     },
-    /// Shows which hosts a host thinks are there, and what of limits it has lent and borrowed.
-    Members {
-        #[command(flatten)]
-        hosts: orders::Hosts,
-    },
+    /// Shows which hosts a host thinks are there, by site, and what of limits it has lent and borrowed.
+    Members(members::MembersArguments),
     /// Plays a scripted day on loopback: hosts, stand-ins, traffic and troubles.
     ///
     /// Prints the seed, service by plan and stream type, and each of the seven rules with what was checked. Exits
@@ -135,7 +133,7 @@
         Command::Override(c) => orders::run(c),
         Command::Plan(c) => plans::run(c),
         Command::Status { hosts } => orders::status(&hosts),
-        Command::Members { hosts } => orders::members(&hosts),
+        Command::Members(a) => members::run(&a),
         Command::Day(a) => day::day(&a),
         Command::DayImport { file, seed } => day::import(&file, seed),
         Command::Rules { trace, json } => day::rules(&trace, json),
--- a/crates/cli/src/orders.rs
+++ b/crates/cli/src/orders.rs
@@ -9,16 +9,16 @@
     Explanation, Kind, Order, Override, OverrideId, Preview, Service, Standing, Target,
 };
 
-const PATIENCE: Duration = Duration::from_secs(15);
+pub const PATIENCE: Duration = Duration::from_secs(15);
 
 #[derive(clap::Args)]
 pub struct Hosts {
     /// Admin socket of a host; given several times, each is called in turn.
     #[arg(long = "host", value_name = "SOCKET", required = true)]
-    hosts: Vec<PathBuf>,
+    pub hosts: Vec<PathBuf>,
     /// Prints the answers as JSON, a line a host.
     #[arg(long)]
-    json: bool,
+    pub json: bool,
 }
 
 #[derive(clap::Subcommand)]
@@ -121,12 +121,8 @@
     each(hosts, &Call::Ask(Ask::Status))
 }
 
-pub fn members(hosts: &Hosts) -> Result<ExitCode, String> {
-    each(hosts, &Call::Ask(Ask::Members))
-}
-
 /// Calls every host, also after one has failed; the exit code tells whether all did as asked.
-fn each(hosts: &Hosts, call: &Call) -> Result<ExitCode, String> {
+pub fn each(hosts: &Hosts, call: &Call) -> Result<ExitCode, String> {
     let mut good = true;
     for socket in &hosts.hosts {
         if hosts.hosts.len() > 1 && !hosts.json {
@@ -196,7 +192,7 @@
             }
         }
         Reply::Explain(e) => explain(e),
-        Reply::Members(m) => members_shown(m),
+        Reply::Members(m) => print!("{}", crate::members::one(m)),
         Reply::Plan(p) => println!("{p:?}"),
         Reply::Status(s) => {
             println!(
@@ -219,25 +215,6 @@
     }
 }
 
-fn members_shown(m: &tackmast_hostcore::MembersStatus) {
-    let Some(host) = m.host else { return println!("this host has no membership block in its settings") };
-    println!(
-        "host {host}: {} hosts are there; {} datagrams sent ({} bytes), {} taken, {} dropped",
-        m.there, m.sent, m.sent_bytes, m.taken, m.dropped
-    );
-    if m.displaced {
-        println!("another life of this host's number runs: it uses nothing that hosts share");
-    }
-    for p in &m.peers {
-        println!("{:>6}  {:<8} {:<24} for {}", p.host, p.health, p.address, span(p.since_s));
-    }
-    for (lun, own, lent, borrowed, need) in &m.loans {
-        println!(
-            "LUN {lun}: owns {own:.3} of the limit, lent {lent:.3}, borrowed {borrowed:.3}, needs {need:.3}"
-        );
-    }
-}
-
 fn word(s: &Standing) -> String {
     let service = match s.service {
         Service::Listed => "as listed",
@@ -298,7 +275,7 @@
     }
 }
 
-fn span(seconds: f64) -> String {
+pub fn span(seconds: f64) -> String {
     humantime::format_duration(Duration::from_secs(seconds.max(0.0).round() as u64)).to_string()
 }
 
