The platform's run sends no datagram of views: a loopback test counts them

Change: a host of the platform is started with two sockets in the others' places: 2 to 6 datagrams where peers are allowed (its asks for what it remembered), none where not, and none that begins as those of membership do. Checked: the test; a host that sent one would fail it by count or by its first bytes.

--- a/crates/httphost/tests/keepers.rs
+++ b/crates/httphost/tests/keepers.rs
@@ -16,13 +16,18 @@
 }
 
 fn start(me: usize, peers: &[SocketAddr], list: &HttpList) -> Run {
+    start_where(me, peers, list, true)
+}
+
+/// `allowed`: the platform lets hosts send each other datagrams.
+fn start_where(me: usize, peers: &[SocketAddr], list: &HttpList, allowed: bool) -> Run {
     let all: Vec<String> = peers.iter().map(|p| format!("\"{p}\"")).collect();
     let text = format!(
         r#"{{"name":"n{me}","listen":"127.0.0.1:0","discovery":"{}","seed":"7","known":{},
         "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
         "peer_listen":"{}","peers":[{}],
         "settings":{{"balancers":{},"me":{me},"granularity":0.002,"areas":["a"],"registry_mode":"ask",
-          "limits":{{"peers":true}},
+          "limits":{{"peers":{allowed}}},
           "request_classes":[{{"name":"read","effect":"repeatable","target":0.3,"give_up":1.0}}],
           "grades":[{{"name":"gold"}}]}}}}"#,
         list.address(),
@@ -91,3 +96,37 @@
     assert_eq!(again.end().known_again, 1, "the shard that it had asked");
     assert_eq!((second.end().known_again, third.end().known_again), (0, 0), "they had asked none");
 }
+
+#[test]
+fn on_the_platform_no_datagram_leaves_but_what_hosts_leave_with_each_other_where_that_is_allowed() {
+    let list = HttpList::start().unwrap();
+    let node = HttpNode::start().unwrap();
+    let address = node.address();
+    list.holds(ListLine { id: "s-0".into(), address, shard: 0, phase: "Ready", up_since_ms: 0 });
+    // A host asks two others three times at its start, and has nothing to leave yet; so many datagrams, and none where the
+    // platform allows none. Views, votes and leases of hosts that know of each other begin with 0x746d: none of them leaves.
+    for (allowed, most) in [(true, 6), (false, 0)] {
+        let held: Vec<UdpSocket> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let peers: Vec<SocketAddr> = held.iter().map(|s| s.local_addr().unwrap()).collect();
+        let mut held = held.into_iter();
+        drop(held.next());
+        let others: Vec<UdpSocket> = held.collect();
+        others.iter().for_each(|s| s.set_read_timeout(Some(Duration::from_millis(50))).unwrap());
+        let run = start_where(0, &peers, &list, allowed);
+        let began = Instant::now();
+        let mut came = Vec::new();
+        let mut room = [0; 2048];
+        while began.elapsed() < Duration::from_millis(2500) {
+            for s in &others {
+                while let Ok((n, _)) = s.recv_from(&mut room) {
+                    came.push(room[..n].to_vec());
+                }
+            }
+        }
+        run.end();
+        assert!(came.len() <= most, "allowed {allowed}: {} datagrams", came.len());
+        assert!(!allowed || came.len() >= 2, "it asks where it may");
+        let of_members = came.iter().filter(|d| d.starts_with(&0x746du16.to_be_bytes())).count();
+        assert_eq!(of_members, 0, "allowed {allowed}");
+    }
+}
