--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -146,7 +146,10 @@
     while std::time::Instant::now() < until {
         let drawn = tackmast_day::draw(&script, seed);
         if let Some(report) = is_bad(&drawn)? {
-            println!("seed {seed}: something is wrong\n{report}");
+            println!(
+                "seed {seed}: something is wrong\n{report}\ndrawn:\n{}",
+                tackmast_day::troubles_text(&drawn)
+            );
             let small = tackmast_day::smaller(drawn, |s| Ok::<_, String>(is_bad(s)?.is_some()))?;
             println!("made smaller:\n{}", tackmast_day::troubles_text(&small));
             return Ok(ExitCode::from(1));
--- a/days/view/cut-off.hcl
+++ b/days/view/cut-off.hcl
@@ -4,6 +4,7 @@
   base      = "../pool.hcl"
   seconds   = 9
   hosts     = 2
+  answer_slack_ms = 200
   seed      = 41
   exercises = [1, 3, 5, 7]
 }
--- a/days/view/stopped.hcl
+++ b/days/view/stopped.hcl
@@ -4,6 +4,7 @@
   base           = "base.hcl"
   seconds        = 8
   hosts          = 12
+  answer_slack_ms = 200
   seed           = 33
   members        = true
   sites          = 3
