--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -244,7 +244,12 @@
         let mut begun = BTreeSet::new();
         let mut ended = BTreeSet::new();
         let mut steps: BTreeMap<usize, u32> = BTreeMap::new();
-        let mut over_at = day;
+        // What is done to processes and ways is undone before the day ends, however many hosts it takes in turn.
+        let rigged = |t: &&crate::script::Trouble| {
+            matches!(t.action, Action::Hosts { .. } | Action::Way { .. } | Action::Apart(_))
+        };
+        let last = self.script.troubles.iter().filter(rigged).map(|t| t.at_s + t.for_s).fold(0.0, f64::max);
+        let mut over_at = day.max(Duration::from_secs_f64(last) + LOOK);
         while start.elapsed() < over_at {
             let t = start.elapsed().as_secs_f64();
             for (i, trouble) in self.script.troubles.iter().enumerate() {
