What is written down of other hosts is looked at each ten periods, not at each tick

`Member::remember` built and compared a map of all hosts at every tick whenever nothing had changed since (`remember_at` moved only on a change), some four times a period and host: work that grows with the fleet on real hosts too. Change: it is looked at each ten periods, changed or not.

--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -363,6 +363,8 @@
         if now < self.remember_at {
             return;
         }
+        // Looked at now and then, changed or not: with hundreds of hosts it is no work for every tick.
+        self.remember_at = now + Span::from_secs(REMEMBER * self.period.secs());
         // Whoever an earlier life knew and nobody has spoken of yet stays written down. At most one line a number.
         let mut all: BTreeMap<u32, (u64, SocketAddr)> =
             self.remembered.hosts.iter().map(|(slot, life, a)| (*slot, (*life, *a))).collect();
@@ -372,7 +374,6 @@
         let hosts = all.into_iter().map(|(slot, (life, a))| (slot, life, a)).collect();
         let new = Remembered { life: self.view.me().life, hosts };
         if new != self.remembered {
-            self.remember_at = now + Span::from_secs(REMEMBER * self.period.secs());
             self.remembered = new.clone();
             self.outputs.push_back(Output::Remember(new));
         }
