Hosts that a disk has beyond the told number are let go

Found on reading the change: a fleet made smaller kept the numbers it no longer has on each host's disk, called them at each start and wrote them down again, for ever. Cause: `Member::with` took what was recalled as it stood. Change: numbers beyond those told are dropped.

--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -107,7 +107,9 @@
         Member::with(now, s, Some(fault))
     }
 
-    fn with(now: Instant, s: MemberSettings, fault: Option<ViewFault>) -> Self {
+    fn with(now: Instant, mut s: MemberSettings, fault: Option<ViewFault>) -> Self {
+        // Against a disk of a larger fleet: numbers beyond those told would be called, and written down, for ever.
+        s.recalled.retain(|(slot, _, _)| (*slot as usize) < s.view.most);
         let (incarnation, health, address, by) = (0, Health::Alive, s.address, None);
         let me = News { slot: s.slot, life: s.life, incarnation, health, address, site: s.site, by };
         let recalled = s.recalled.iter().map(|(slot, _, a)| (*slot, *a)).collect();
--- a/crates/membership/tests/member.rs
+++ b/crates/membership/tests/member.rs
@@ -11,8 +11,16 @@
 }
 
 fn member(life: u64) -> Member {
+    Member::new(Instant::from_secs(10.0), settings(life))
+}
+
+fn recalling(recalled: Vec<(u32, u64, SocketAddr)>) -> Member {
+    Member::new(Instant::from_secs(10.0), MemberSettings { recalled, ..settings(5) })
+}
+
+fn settings(life: u64) -> MemberSettings {
     let secs = Span::from_secs;
-    let settings = MemberSettings {
+    MemberSettings {
         fleet: "f".into(),
         slot: 0,
         life,
@@ -26,8 +34,7 @@
         shared: vec![Shared { volume: 1, limit: 100.0, owners: vec![0, 1, 2] }],
         left: false,
         seed: 3,
-    };
-    Member::new(Instant::from_secs(10.0), settings)
+    }
 }
 
 fn datagram(slot: u32, life: u64, body: Body, news: Vec<News>) -> Bytes {
@@ -38,6 +45,26 @@
     News { slot, life, incarnation, health, address: address(slot), site: Some(slot % 2), by: None }
 }
 
+#[test]
+fn hosts_that_the_disk_has_beyond_the_told_number_are_let_go() {
+    // Of a fleet of five now; the disk is of a larger one.
+    let mut m = recalling(vec![(1, 9, address(1)), (4, 9, address(4)), (7, 9, address(7))]);
+    let mut called = std::collections::BTreeSet::new();
+    let mut written = Vec::new();
+    for t in 0..200 {
+        m.tick(Instant::from_secs(10.0 + f64::from(t) * 0.1));
+        while let Some(o) = m.next_output() {
+            match o {
+                Output::Send { to, .. } => _ = called.insert(to),
+                Output::Remember(r) => written.extend(r.hosts),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(called.into_iter().collect::<Vec<_>>(), [address(1), address(4)]);
+    assert!(written.iter().all(|(slot, _, _)| *slot < 5), "{written:?}");
+}
+
 #[test]
 fn what_wins_of_two_words_on_a_host() {
     use Health::*;
