--- a/crates/membership/src/loans.rs
+++ b/crates/membership/src/loans.rs
@@ -277,6 +277,10 @@
     }
 
     /// `live` are the slots that are thought to be there.
+    pub fn is_due(&self, now: Instant) -> bool {
+        now >= self.next_beat
+    }
+
     pub fn tick(&mut self, now: Instant, live: &BTreeSet<u32>) {
         if now < self.next_beat {
             return;
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -94,6 +94,7 @@
     own_word: bool,
     outputs: VecDeque<Output>,
     from_order: usize,
+    from_piece: usize,
     pub counters: Counters,
 }
 
@@ -132,6 +133,7 @@
             own_word: s.view.ways.own_word,
             outputs: VecDeque::new(),
             from_order: 0,
+            from_piece: 0,
             counters: Counters::default(),
         }
     }
@@ -214,9 +216,13 @@
             Body::Digest { view, orders } => {
                 if view != self.view.digest() {
                     self.view.differs(now);
-                    for news in self.view.all_news().into_iter().take(PIECES) {
-                        self.push(from, Body::Tell, news);
-                    }
+                    // Beginning elsewhere each time: a fleet of many hundreds has more than one answer holds.
+                    let mut all = self.view.all_news();
+                    let first = self.from_piece % all.len().max(1);
+                    all.rotate_left(first);
+                    all.truncate(PIECES);
+                    self.from_piece = first + all.len();
+                    all.into_iter().for_each(|news| self.push(from, Body::Tell, news));
                 }
                 if orders != self.spread.digest(now) {
                     self.tell_orders(now, from);
@@ -401,7 +407,9 @@
                 self.push(to, self.papers.word(now), Vec::new());
             }
         }
-        self.loans.tick(now, &self.view.steady(now));
+        if self.loans.is_due(now) {
+            self.loans.tick(now, &self.view.steady(now));
+        }
         self.spread.tick(now);
         self.papers.tick(now);
         self.remember(now);
@@ -428,7 +436,7 @@
     /// The host leaves in order: it says so, uses nothing that it shares from here on, and lends what it has.
     pub fn leave(&mut self, now: Instant) {
         self.loans.leave(now);
-        self.loans.tick(now, &self.view.live());
+        self.loans.tick(now, &self.view.live().iter().copied().collect());
         self.settle(now);
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -6,6 +6,7 @@
 mod call;
 mod probe;
 mod sites;
+mod table;
 mod tell;
 
 pub use sites::{SiteSeen, SiteWord};
@@ -15,9 +16,10 @@
 use probe::{Probe, Relay};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use table::Table;
 use tackmast::interface::{Instant, Span};
 use tackmast_wire::peer::{Body, Health, News, MOST_NEWS};
-use tell::Telling;
+use tell::Tellings;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ViewSettings {
@@ -223,11 +225,11 @@
     seeds: Vec<SocketAddr>,
     /// Addresses that an earlier life knew, still to be called, and how often each was.
     recalled: VecDeque<(SocketAddr, u32)>,
-    seen: OrdMap<u32, Seen>,
+    seen: Table,
     turn: Vec<u32>,
     probes: Vec<Probe>,
     relays: VecDeque<Relay>,
-    tellings: Vec<Telling>,
+    tellings: Tellings,
     seq: u32,
     periods: u32,
     next_period: Instant,
@@ -252,7 +254,6 @@
     twin: Option<Twin>,
     /// This host took its number back; whether the later life was at its own address.
     took_over: Option<bool>,
-    there: u32,
     /// When the view changed last, or another's differed.
     moved: Instant,
     fault: Option<ViewFault>,
@@ -278,11 +279,11 @@
             settings,
             seeds,
             recalled: VecDeque::new(),
-            seen: OrdMap::new(),
+            seen: Table::default(),
             turn: Vec::new(),
             probes: Vec::new(),
             relays: VecDeque::new(),
-            tellings: Vec::new(),
+            tellings: Tellings::default(),
             seq: 0,
             periods: 0,
             next_period: now + first,
@@ -301,7 +302,6 @@
             displaced: false,
             twin: None,
             took_over: None,
-            there: 0,
             moved: now,
             fault: None,
             counters: ViewCounters::default(),
@@ -337,7 +337,7 @@
 
     /// A snapshot that stays as it is while this goes on.
     pub fn snapshot(&self) -> OrdMap<u32, Seen> {
-        self.seen.clone()
+        OrdMap::clone(&self.seen)
     }
 
     pub fn me(&self) -> News {
@@ -353,29 +353,28 @@
     }
 
     fn put(&mut self, slot: u32, seen: Seen) {
-        let now = u32::from(seen.is_there());
-        let before = self.seen.insert(slot, seen).map_or(0, |s| u32::from(s.is_there()));
-        self.there = self.there + now - before;
+        self.seen.put(slot, seen);
     }
 
     /// Others that are thought to be there.
     pub fn there(&self) -> u32 {
-        self.there
+        self.seen.live().len() as u32
     }
 
     /// Others that were there and are held dead, or have left.
     pub fn gone(&self) -> u32 {
-        self.seen.len() as u32 - self.there
+        self.seen.len() as u32 - self.there()
     }
 
-    pub fn live(&self) -> BTreeSet<u32> {
-        self.seen.iter().filter(|(_, s)| s.is_there()).map(|(slot, _)| *slot).collect()
+    /// By number.
+    pub fn live(&self) -> &[u32] {
+        self.seen.live()
     }
 
     /// Those of them that do not come and go.
     pub fn steady(&self, now: Instant) -> BTreeSet<u32> {
-        let steady = |s: &Seen| s.is_there() && !self.flaps(now, s);
-        self.seen.iter().filter(|(_, s)| steady(s)).map(|(slot, _)| *slot).collect()
+        let steady = |slot: &u32| self.seen.get(slot).is_some_and(|s| !self.flaps(now, s));
+        self.live().iter().copied().filter(steady).collect()
     }
 
     fn stirs(&self, now: Instant, s: &Seen) -> f64 {
@@ -438,27 +437,9 @@
 
     /// Of all that is known, for comparing.
     pub fn digest(&self) -> u32 {
-        let mut sum = 0u32;
-        let all =
-            self.seen.iter().map(|(slot, s)| (*slot, s.life, s.incarnation, s.health, s.address, s.site));
         let m = &self.me;
-        let me = (m.slot, m.life, m.incarnation, m.health, m.address, m.site);
-        for (slot, life, incarnation, health, address, site) in all.chain([me]) {
-            let mut bytes = [0u8; 39];
-            bytes[..4].copy_from_slice(&slot.to_be_bytes());
-            bytes[4..12].copy_from_slice(&life.to_be_bytes());
-            bytes[12..16].copy_from_slice(&incarnation.to_be_bytes());
-            bytes[16] = health as u8;
-            match address.ip() {
-                std::net::IpAddr::V4(ip) => bytes[17..21].copy_from_slice(&ip.octets()),
-                std::net::IpAddr::V6(ip) => bytes[17..33].copy_from_slice(&ip.octets()),
-            }
-            bytes[33..35].copy_from_slice(&address.port().to_be_bytes());
-            bytes[35..].copy_from_slice(&site.unwrap_or(u32::MAX).to_be_bytes());
-            // Added up, so that the order does not matter.
-            sum = sum.wrapping_add(crc32c::crc32c(&bytes));
-        }
-        sum
+        let me = table::mark(m.slot, m.life, m.incarnation, m.health, m.address, m.site);
+        self.seen.sum().wrapping_add(me)
     }
 
     /// All that is known, in pieces of one datagram.
@@ -551,9 +532,8 @@
         if n.health == Health::Dead && was != Some(Health::Dead) {
             self.died(now, &n, false);
             if self.has(ViewFault::ForgetsDead) {
-                self.there -= before.map_or(0, |s| u32::from(s.is_there()));
-                self.seen.remove(&n.slot);
-                self.tellings.retain(|t| t.slot != n.slot);
+                self.seen.remove(n.slot);
+                self.tellings.forget(n.slot);
                 return;
             }
         }
@@ -584,6 +564,11 @@
             alone: false,
         };
         let (flapped, flaps) = (before.is_some_and(|s| self.flaps(now, s)), self.flaps(now, &seen));
+        if seen.is_there() && before.is_none_or(|s| !s.is_there()) && !self.turn.contains(&n.slot) {
+            // Against hosts that join while a turn runs and would not be pinged before it is over.
+            let place = self.chance.rand_range(0..self.turn.len() as u64 + 1) as usize;
+            self.turn.insert(place, n.slot);
+        }
         self.put(n.slot, seen);
         self.moved = now;
         if was != Some(n.health) || (new_life && was.is_some()) {
@@ -675,20 +660,21 @@
 
     /// Some of those that are there, by chance; those that flap only where there are no others.
     pub(crate) fn pick(&mut self, now: Instant, n: usize, but: Option<u32>) -> Vec<u32> {
-        let steady = self.steady(now);
-        let of = if steady.iter().any(|s| Some(*s) != but) || self.has(ViewFault::ShutsOut) {
-            steady
-        } else {
-            self.live()
-        };
-        let mut all: Vec<u32> = of.into_iter().filter(|s| Some(*s) != but).collect();
-        let n = n.min(all.len());
-        for i in 0..n {
-            let j = i + self.chance.rand_range(0..(all.len() - i) as u64) as usize;
-            all.swap(i, j);
+        let mut all: Vec<u32> = self.live().iter().copied().filter(|s| Some(*s) != but).collect();
+        let (mut some, mut flapping) = (Vec::new(), Vec::new());
+        while some.len() < n && !all.is_empty() {
+            let i = self.chance.rand_range(0..all.len() as u64) as usize;
+            let slot = all.swap_remove(i);
+            match self.is_flapping(now, slot) {
+                true => flapping.push(slot),
+                false => some.push(slot),
+            }
+        }
+        if some.is_empty() && !self.has(ViewFault::ShutsOut) {
+            some = flapping;
+            some.truncate(n);
         }
-        all.truncate(n);
-        all
+        some
     }
 
     fn next_seq(&mut self) -> u32 {
--- a/crates/membership/src/view/call.rs
+++ b/crates/membership/src/view/call.rs
@@ -49,9 +49,12 @@
     /// One that is thought dead may be back behind a partition that has healed; a seed may know others.
     pub(super) fn calls(&mut self, now: Instant) {
         let more = self.settings.ways.recall;
-        let alone = self.there == 0;
+        let alone = self.there() == 0;
         let thaws = more && now < self.thaw;
         let due = self.periods.is_multiple_of(RETRY) || self.seen.is_empty() || thaws || (more && alone);
+        if !due && self.recalled.is_empty() {
+            return;
+        }
         let here: BTreeSet<SocketAddr> = self.live().iter().filter_map(|s| self.address(*s)).collect();
         if due && !self.has(ViewFault::NoCalls) {
             let dead = self.seen.iter().filter(|(_, s)| s.health == Health::Dead).map(|(_, s)| s.address);
--- a/crates/membership/src/view/probe.rs
+++ b/crates/membership/src/view/probe.rs
@@ -122,7 +122,7 @@
     /// though it hears others; or it hears nobody, and not yet for so long that the others must be gone.
     fn is_cut_off(&self, now: Instant) -> bool {
         let (silent, unanswered) = (now - self.heard, now - self.answered);
-        let on = self.settings.ways.local_health && self.there > 0 && unanswered >= self.periods(DEAF);
+        let on = self.settings.ways.local_health && self.there() > 0 && unanswered >= self.periods(DEAF);
         on && (silent < self.periods(DEAF) || silent < self.periods(LONE))
     }
 
@@ -135,19 +135,22 @@
     /// It hears others again after a time in which it heard nobody: suspicions of before begin anew.
     pub(super) fn hears_again(&mut self, now: Instant) {
         self.rejoined = now;
-        let all = self.seen.iter().filter(|(_, s)| s.health == Health::Suspect);
-        let all: Vec<(u32, Seen)> = all.map(|(slot, s)| (*slot, s.clone())).collect();
-        for (slot, s) in all {
+        for (slot, s) in self.suspects() {
             self.put(slot, Seen { since: now, ..s });
         }
     }
 
+    fn suspects(&self) -> Vec<(u32, Seen)> {
+        let all = self.seen.suspects().iter();
+        all.filter_map(|k| self.seen.get(k).map(|s| (*k, s.clone()))).collect()
+    }
+
     /// What it found alone and nobody has said otherwise of, once it had time to hear, is told like any other death.
     pub(super) fn stands_by(&mut self, now: Instant) {
         if self.is_alone(now) || now - self.rejoined < self.periods(STANDS_BY) {
             return;
         }
-        let all: Vec<u32> = self.seen.iter().filter(|(_, s)| s.alone).map(|(slot, _)| *slot).collect();
+        let all: Vec<u32> = self.seen.alone().iter().copied().collect();
         for slot in all {
             if let Some(s) = self.seen.get(&slot).cloned() {
                 self.put(slot, Seen { alone: false, ..s });
@@ -166,7 +169,7 @@
         self.counters.pauses += 1;
         self.changes.push_back(Change::Paused(late));
         if self.has(ViewFault::AccusesAfterStop) {
-            let all: Vec<u32> = self.live().into_iter().collect();
+            let all = self.live().to_vec();
             return all.into_iter().for_each(|slot| self.suspect(now, slot));
         }
         if !self.settings.ways.own_pause {
@@ -176,12 +179,7 @@
         self.relays.clear();
         (self.heard, self.answered) = (now, now);
         self.strain_by(2);
-        let suspects: Vec<(u32, Seen)> = self
-            .seen
-            .iter()
-            .filter(|(_, s)| s.health == Health::Suspect)
-            .map(|(k, s)| (*k, s.clone()))
-            .collect();
+        let suspects = self.suspects();
         for (slot, s) in suspects {
             let since = (s.since + late).min(now);
             self.put(slot, Seen { since, ..s });
@@ -240,7 +238,7 @@
     /// late all the time.
     pub(super) fn next_probes(&mut self, now: Instant) {
         self.next_probe(now);
-        let alarm = self.seen.values().any(|s| s.health == Health::Suspect);
+        let alarm = !self.seen.suspects().is_empty();
         if alarm && self.settings.ways.confirm && f64::from(self.strain) < STRAIN_DOUBLES {
             self.next_probe(now);
         }
@@ -248,20 +246,21 @@
 
     /// All are pinged in turn, in an order by chance.
     fn next_probe(&mut self, now: Instant) {
-        let live = if self.has(ViewFault::ShutsOut) { self.steady(now) } else { self.live() };
+        let shut_out = |slot: &u32| self.has(ViewFault::ShutsOut) && self.is_flapping(now, *slot);
+        let live: Vec<u32> = self.live().iter().copied().filter(|s| !shut_out(s)).collect();
         let slot = loop {
             let Some(slot) = self.turn.pop() else {
                 if live.is_empty() {
                     return;
                 }
-                self.turn = live.iter().copied().collect();
+                self.turn = live.clone();
                 for i in (1..self.turn.len()).rev() {
                     let j = self.chance.rand_range(0..i as u64 + 1) as usize;
                     self.turn.swap(i, j);
                 }
                 continue;
             };
-            if live.contains(&slot) {
+            if live.binary_search(&slot).is_ok() {
                 break slot;
             }
         };
@@ -314,7 +313,7 @@
         }
         let least = (SHARED * self.log_size()).max(SHARED_LEAST);
         // Where fewer are there than could confirm, fewer do.
-        let full = CONFIRMS.min(self.there.saturating_sub(1) as usize);
+        let full = CONFIRMS.min(self.there().saturating_sub(1) as usize);
         let shared = match full {
             0 => 1.0,
             n => ((by.max(1) as f64).ln() / (n as f64 + 1.0).ln()).min(1.0),
@@ -338,7 +337,8 @@
             let long = self.periods(times * patience * self.suspicion(s.by.len()));
             s.health == Health::Suspect && (at_once || now - s.since >= long)
         };
-        let mut ended: Vec<u32> = self.seen.iter().filter(|(_, s)| over(s)).map(|(slot, _)| *slot).collect();
+        let suspects = self.seen.suspects().iter().copied();
+        let mut ended: Vec<u32> = suspects.filter(|k| self.seen.get(k).is_some_and(over)).collect();
         if self.is_cut_off(now) {
             // Nobody's answer could come: what is due waits until this host hears again, or takes itself for alone.
             ended.clear();
@@ -352,9 +352,8 @@
             self.died(now, &n, true);
             let flaps = self.flaps(now, &s);
             if self.has(ViewFault::ForgetsDead) {
-                self.there -= 1;
-                self.seen.remove(&slot);
-                self.tellings.retain(|t| t.slot != slot);
+                self.seen.remove(slot);
+                self.tellings.forget(slot);
                 continue;
             }
             let alone = self.is_alone(now);
@@ -362,7 +361,7 @@
             self.moved = now;
             self.changed(slot, Health::Dead, flaps, flaps);
             if alone {
-                self.tellings.retain(|t| t.slot != slot);
+                self.tellings.forget(slot);
             } else {
                 self.tell(slot);
                 told = true;
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -239,3 +239,35 @@
         assert_eq!((v.me().life, v.is_displaced()), (life, expected.is_none()), "{name}");
     }
 }
+
+#[test]
+fn who_joins_while_a_turn_runs_is_pinged_within_it() {
+    // Two are known when the turn begins; fifteen more join at once. Without a place in the turn that runs, those of the
+    // first two come again and again while the rest waits for the next.
+    let settings = ViewSettings { period: Span::from_secs(1.0), most: 40, ways: Ways::all() };
+    let (mut pinged, mut seeds) = (0, 0);
+    for seed in 0..20 {
+        let mut v = View::new(at(0.0), news(0, 50, 0, Health::Alive), vec![], vec![], settings, seed);
+        (1..=16).for_each(|h| v.learn(at(0.0), news(h, 10, 0, Health::Alive)));
+        // The turn begins, all of sixteen in it.
+        run(&mut v, 0.0, 1.5, &[1, 2], &[]);
+        (17..=18).for_each(|h| v.learn(at(1.5), news(h, 10, 0, Health::Alive)));
+        let all: Vec<u32> = (1..=18).collect();
+        let mut seen = std::collections::BTreeSet::new();
+        for i in 0..80 {
+            let t = 1.5 + f64::from(i) * 0.1;
+            v.tick(at(t));
+            while let Some((a, body, _)) = v.next_send() {
+                if let (Body::Ping { seq }, Some(h)) = (&body, all.iter().find(|h| address(**h) == a)) {
+                    seen.insert(*h);
+                    v.heard(at(t), a, *h, &Body::Ack { seq: *seq });
+                }
+            }
+            all.iter().for_each(|h| v.heard_from(at(t), *h, 10));
+        }
+        pinged += [17, 18].iter().filter(|h| seen.contains(*h)).count();
+        seeds += 1;
+    }
+    // Half of a turn has gone by: about half of the two is wanted, none if they wait for the next.
+    assert!(pinged > seeds / 2, "{pinged} of {} in half a turn", 2 * seeds);
+}
--- a/days/view/clock-back.hcl
+++ b/days/view/clock-back.hcl
@@ -41,3 +41,11 @@
   clock_pace = 1.05
   hosts      = [8]
 }
+
+trouble "clocks run within the drift that is told" {
+  at_s       = 6.5
+  for_s      = 0.5
+  host       = "clock"
+  clock_pace = 1.0008
+  hosts      = [9]
+}
