--- a/crates/agreement/src/voter/lead.rs
+++ b/crates/agreement/src/voter/lead.rs
@@ -50,6 +50,8 @@
     pub has: BTreeMap<u32, (u64, Instant)>,
     /// Disks of hosts as they said.
     pub disks: BTreeMap<u32, u64>,
+    /// Up to where those who follow were told of what is committed.
+    told: u64,
 }
 
 impl Lead {
@@ -73,6 +75,7 @@
             asks: BTreeMap::new(),
             has: BTreeMap::new(),
             disks: BTreeMap::new(),
+            told: self.commit,
         };
         self.role = Role::Leader(Box::new(lead));
         self.counters.led += 1;
@@ -216,9 +219,23 @@
         }
         let peers: Vec<u32> = l.peers.keys().copied().collect();
         peers.into_iter().for_each(|s| self.send_to(now, s));
+        self.tell_followers();
         self.grant();
     }
 
+    /// What was committed since the last round goes to those who follow without voting, once: one that misses it hears of it
+    /// with its next lease.
+    fn tell_followers(&mut self) {
+        let commit = self.commit;
+        let Role::Leader(l) = &mut self.role else { return };
+        if std::mem::replace(&mut l.told, commit) >= commit {
+            return;
+        }
+        let behind = l.has.iter().filter(|(h, (has, _))| *has < commit && !l.peers.contains_key(h));
+        let behind: Vec<(u32, u64)> = behind.map(|(h, (has, _))| (*h, *has)).collect();
+        behind.into_iter().for_each(|(h, has)| self.wanted(h, has));
+    }
+
     pub(super) fn tick_leader(&mut self, now: Instant) {
         let quorum = self.quorum();
         let alone = Span::from_secs(self.settings.patience.secs() * ALONE);
--- /dev/null
+++ b/crates/cli/src/agreement.rs
@@ -0,0 +1,158 @@
+//! `tackmast agreement`: who votes, who leads, and how each host stands to what is agreed on.
+
+use crate::orders::PATIENCE;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tackmast_admin::{Answer, Call};
+use tackmast_hostcore::{AgreementAsk, AgreementReply, AgreementStatus, Ask, Reply};
+
+#[derive(clap::Subcommand)]
+pub enum AgreementCommand {
+    /// Shows leader, term, voters, versions by host, and who is past its lease and in what posture.
+    Status {
+        #[command(flatten)]
+        hosts: crate::orders::Hosts,
+    },
+    /// Changes who votes, one host at a time; asked of the host that leads.
+    #[command(subcommand)]
+    Voter(VoterCommand),
+}
+
+#[derive(clap::Subcommand)]
+pub enum VoterCommand {
+    /// A host that runs and follows votes from now on, with the disk that it has.
+    Add {
+        number: u32,
+        #[arg(long = "host", value_name = "SOCKET")]
+        host: PathBuf,
+    },
+    /// A host votes no more; it goes on following. The way to replace a lost disk is to remove its host and add it again.
+    Remove {
+        number: u32,
+        #[arg(long = "host", value_name = "SOCKET")]
+        host: PathBuf,
+    },
+}
+
+fn ask(host: &Path, ask: AgreementAsk) -> Result<AgreementReply, String> {
+    match tackmast_admin::call(host, &Call::Ask(Ask::Agreement(ask)), PATIENCE)? {
+        Answer::Reply(r) => match *r {
+            Reply::Agreement(a) => Ok(a),
+            Reply::NotKept { why } => Err(why),
+            other => Err(format!("host {}: {other:?}; expected word of the agreement", host.display())),
+        },
+        Answer::Error(e) => Err(e),
+        Answer::Audit(_) => Err(format!("host {}: an audit; expected word of the agreement", host.display())),
+    }
+}
+
+/// One host's lines.
+pub fn one(s: &AgreementStatus) -> String {
+    let leader = s.leader.map_or("no leader is known".to_owned(), |l| format!("host {l} leads"));
+    let place = match (s.founded, s.votes, s.failed) {
+        (_, _, true) => "its disk takes no writes: it neither votes nor leads",
+        (false, _, _) => "nothing is agreed on yet: it waits for all who begin",
+        (_, true, _) => "votes",
+        (_, false, _) => "does not vote",
+    };
+    let lease = match s.lease.as_str() {
+        "holds" => format!("lease for {:.2} s more", s.lease_s),
+        "past" => format!("past its lease for {:.2} s", s.lease_s),
+        _ => "never had a lease in this life".to_owned(),
+    };
+    let posture = if s.posture { "; goes by the floors" } else { "" };
+    let voters: Vec<String> = s.voters.iter().map(u32::to_string).collect();
+    let mut out = format!(
+        "host {}: {}, term {}; {leader}; voters {}; {place}\n    plans version {}, all have {}; {lease}{posture}; {} entries, {} agreed on, {} folded; in force in {:.1} s\n",
+        s.host,
+        s.role,
+        s.term,
+        if voters.is_empty() { "none".into() } else { voters.join(", ") },
+        s.version,
+        s.told,
+        s.last,
+        s.commit,
+        s.folded,
+        s.in_force_s.max(0.0)
+    );
+    let behind = s.has.iter().filter(|(_, (has, _))| *has < s.commit);
+    let behind: Vec<String> =
+        behind.map(|(h, (has, ago))| format!("{h} has {has}, said {ago:.1} s ago")).collect();
+    if !behind.is_empty() {
+        out += &format!("    behind: {}\n", behind.join("; "));
+    }
+    out
+}
+
+fn told(reply: AgreementReply) -> Result<ExitCode, String> {
+    match reply {
+        AgreementReply::Taken { index } => {
+            println!("entry {index}: it holds once most voters have it, which `status` shows");
+            Ok(ExitCode::SUCCESS)
+        }
+        AgreementReply::Refused { why } => Err(format!("refused: {why}")),
+        AgreementReply::Status(s) => {
+            print!("{}", one(&s));
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+pub fn run(command: AgreementCommand) -> Result<ExitCode, String> {
+    match command {
+        AgreementCommand::Status { hosts } => {
+            let mut good = true;
+            for host in &hosts.hosts {
+                match ask(host, AgreementAsk::Status) {
+                    Ok(AgreementReply::Status(s)) if hosts.json => {
+                        println!("{}", serde_json::to_string(&*s).map_err(|e| e.to_string())?)
+                    }
+                    Ok(AgreementReply::Status(s)) => {
+                        good &= s.lease == "holds";
+                        print!("{}", one(&s));
+                    }
+                    Ok(AgreementReply::Refused { why }) | Err(why) => {
+                        good = false;
+                        eprintln!("{}: {why}", host.display());
+                    }
+                    Ok(other) => return Err(format!("{}: {other:?}; expected a status", host.display())),
+                }
+            }
+            Ok(ExitCode::from(u8::from(!good)))
+        }
+        AgreementCommand::Voter(VoterCommand::Add { number, host }) => {
+            told(ask(&host, AgreementAsk::Voter { host: number, votes: true })?)
+        }
+        AgreementCommand::Voter(VoterCommand::Remove { number, host }) => {
+            told(ask(&host, AgreementAsk::Voter { host: number, votes: false })?)
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_host_says_of_itself() {
+        let status = AgreementStatus {
+            host: 3,
+            role: "leads".into(),
+            leader: Some(3),
+            voters: vec![0, 1, 3],
+            votes: true,
+            founded: true,
+            commit: 9,
+            lease: "holds".into(),
+            has: [(1, (9, 0.1)), (2, (4, 2.5))].into(),
+            ..AgreementStatus::default()
+        };
+        let text = one(&status);
+        assert!(
+            text.contains("voters 0, 1, 3; votes") && text.contains("behind: 2 has 4, said 2.5 s ago"),
+            "{text}"
+        );
+        let past = AgreementStatus { lease: "past".into(), posture: true, votes: false, ..status };
+        assert!(one(&past).contains("past its lease for 0.00 s; goes by the floors"), "{}", one(&past));
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `tackmast` command: it reads arguments, settings and signals, and hands on.
 
 mod agreed;
+mod agreement;
 mod day;
 mod io;
 mod lab;
@@ -75,6 +76,9 @@
     /// Plans, and which volume is under which, changed while hosts run; with a trail that can be proved.
     #[command(subcommand)]
     Plan(plans::PlanCommand),
+    /// What all hosts go by: who leads and votes, leases, and how each host stands.
+    #[command(subcommand)]
+    Agreement(agreement::AgreementCommand),
     /// Shows what hosts are doing, and what each node is given.
     Status {
         #[command(flatten)]
@@ -133,6 +137,7 @@
         Command::Io(c) => io::run(c),
         Command::Override(c) => orders::run(c),
         Command::Plan(c) => plans::run(c),
+        Command::Agreement(c) => agreement::run(c),
         Command::Status { hosts } => orders::status(&hosts),
         Command::Members(a) => members::run(&a),
         Command::Day(a) => day::day(&a),
--- a/crates/cli/src/orders.rs
+++ b/crates/cli/src/orders.rs
@@ -194,6 +194,7 @@
         Reply::Explain(e) => explain(e),
         Reply::Members(m) => print!("{}", crate::members::one(m)),
         Reply::Plan(p) => println!("{p:?}"),
+        Reply::Agreement(a) => println!("{a:?}"),
         Reply::Status(s) => {
             println!(
                 "host {}: {} commands open, {} legs out; taken {}, done {}, deferred {}, abandoned {}",
--- a/crates/cli/src/plans.rs
+++ b/crates/cli/src/plans.rs
@@ -191,6 +191,9 @@
 
 fn show(s: &PlanStatus) -> Result<(), String> {
     println!("# version {}, change {}; host {} takes changes", s.catalogue.version, s.number, s.home);
+    if s.stale {
+        println!("# this host could not ask whether there is a newer one");
+    }
     if s.in_force_s > 0.0 {
         println!("# hosts may go by the change before for {:.1} s more", s.in_force_s);
     }
@@ -202,7 +205,9 @@
     let mut body = Body::builder();
     for (name, p) in &s.catalogue.plans {
         let figures = [("limit", p.limit), ("burst", p.burst), ("slack", p.slack), ("reserve", p.reserve)];
-        let block = Block::builder("plan").add_label(name.as_str()).add_attributes(figures);
+        let floor = p.floor.map(|f| ("floor", f));
+        let block =
+            Block::builder("plan").add_label(name.as_str()).add_attributes(figures).add_attributes(floor);
         body = body.add_block(block.add_attribute(("weight", p.weight)).build());
     }
     for (name, v) in &s.catalogue.volumes {
@@ -291,7 +296,10 @@
     #[test]
     fn a_file_moves_what_it_says_otherwise_and_names_what_is_wrong() {
         let mut now = Catalogue::default();
-        now.plans.insert("a".into(), Plan { limit: 1.0, burst: 9.0, slack: 1.0, reserve: 0.0, weight: 1.0 });
+        now.plans.insert(
+            "a".into(),
+            Plan { limit: 1.0, burst: 9.0, slack: 1.0, reserve: 0.0, weight: 1.0, floor: None },
+        );
         let v = tackmast_plans::Volume {
             lun: 0,
             plan: "a".into(),
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -52,6 +52,9 @@
     two_processes_of_one_number = "view/twins",
     datagrams_lost_late_and_doubled = "view/lossy",
     clocks_and_disks_that_go_back = "view/clock-back",
+    hosts_cut_off_while_a_limit_falls = "agree/cut-off",
+    hosts_that_stand_still_past_their_lease = "agree/stopped",
+    voters_killed_one_by_one_and_all_at_once = "agree/voters-killed",
 }
 
 #[test]
--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -172,7 +172,8 @@
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct PlansBlock {
-    /// The number of the host that takes changes.
+    /// The number of the host that takes changes, where hosts do not agree on them.
+    #[serde(default)]
     pub home: u32,
     /// From a change's acknowledgement until all hosts go by it.
     #[serde(default = "settle_s")]
@@ -187,6 +188,37 @@
     5.0
 }
 
+/// `agreement { ... }`: hosts agree on changes of plans, by a log that a few of them vote on. Without the block the home of
+/// the block `plans` takes them alone.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AgreementBlock {
+    /// Numbers of the hosts that begin the log; later it says itself who votes.
+    pub voters: Vec<u32>,
+    /// For how long what a host has counts after it last asked: the longest for which two hosts go by changes that
+    /// contradict each other.
+    #[serde(default = "lease_s")]
+    pub lease_s: f64,
+    /// Between two words of a leader, and the least time without one after which another is sought.
+    #[serde(default = "beat_ms")]
+    pub beat_ms: f64,
+    #[serde(default = "patience_ms")]
+    pub patience_ms: f64,
+    /// Part by which steady clocks may run apart.
+    #[serde(default = "drift")]
+    pub drift: f64,
+}
+
+fn lease_s() -> f64 {
+    5.0
+}
+fn beat_ms() -> f64 {
+    100.0
+}
+fn patience_ms() -> f64 {
+    1000.0
+}
+
 /// `units { ... }`: how a transfer's size counts.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -301,6 +333,7 @@
     reserve: f64,
     #[serde(default = "one")]
     weight: f64,
+    floor: Option<f64>,
 }
 
 /// `plan "name" { ... }`: units a second, and units.
@@ -312,6 +345,8 @@
     pub slack: f64,
     pub reserve: f64,
     pub weight: f64,
+    /// What a host past its lease goes by, where hosts agree on plans; none: nothing of a limit, and all where there is none.
+    pub floor: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -370,12 +405,13 @@
     pub overrides: Option<OverridesBlock>,
     pub membership: Option<MembershipBlock>,
     pub plans_live: Option<PlansBlock>,
+    pub agreement: Option<AgreementBlock>,
     pub streams: Vec<Stream>,
     pub plans: Vec<Plan>,
     pub volumes: Vec<Volume>,
 }
 
-const BLOCKS: [&str; 12] = [
+const BLOCKS: [&str; 13] = [
     "host",
     "bounds",
     "units",
@@ -384,6 +420,7 @@
     "cold_nodes",
     "overrides",
     "membership",
+    "agreement",
     "plans",
     "stream",
     "plan",
@@ -509,6 +546,29 @@
                 ));
             }
         }
+        let agreement: Option<AgreementBlock> = doc.blocks("agreement", false)?.pop().map(|f| f.value);
+        if let Some(a) = &agreement {
+            within("agreement", "", "lease_s", a.lease_s, 0.2, 600.0)?;
+            within("agreement", "", "beat_ms", a.beat_ms, 5.0, 10_000.0)?;
+            within("agreement", "", "patience_ms", a.patience_ms, 2.0 * a.beat_ms, 60_000.0)?;
+            within("agreement", "", "drift", a.drift, 0.0, 0.1)?;
+            let at = |name| Place { kind: "agreement", label: "", name };
+            let different: BTreeSet<u32> = a.voters.iter().copied().collect();
+            let right = (1..=7).contains(&different.len()) && different.len() == a.voters.len();
+            if !right || different.iter().any(|v| *v >= host.hosts) {
+                let expected = format!("1 to 7 different numbers below {}", host.hosts);
+                return Err(doc.wrong(&at("voters"), format!("{:?}", a.voters), &expected));
+            }
+            for (name, there) in [("plans", plans_live.is_some()), ("membership", membership.is_some())] {
+                if !there {
+                    return Err(doc.wrong(
+                        &at(""),
+                        format!("no {name} block"),
+                        "one: hosts agree on plans, over its way",
+                    ));
+                }
+            }
+        }
         if let Some(f) = &further_legs {
             within("further_legs", "", "free", f.free, 0.0, 1e9)?;
             within("further_legs", "", "share", f.share, 0.0, 1e3)?;
@@ -578,6 +638,7 @@
                 limit: p.limit,
                 burst: p.burst,
                 slack: p.slack,
+                floor: p.floor,
                 reserve: p.reserve,
                 weight: p.weight,
             });
@@ -687,6 +748,7 @@
             overrides,
             membership,
             plans_live,
+            agreement,
             streams,
             plans,
             volumes,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,6 @@
 
 pub use document::{ConfigError, Document, Place};
 pub use host::{
-    Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, MembershipBlock, OverridesBlock, Plan,
-    PlansBlock, Stream, Units, Volume,
+    AgreementBlock, Bounds, ColdNodes, FurtherLegs, HostSettings, Identity, Load, MembershipBlock,
+    OverridesBlock, Plan, PlansBlock, Stream, Units, Volume,
 };
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -1,6 +1,7 @@
 //! Plays a scripted day on loopback: hosts as processes of their own, stand-in nodes, list and clients, troubles by
 //! the clock; records what the sockets show, holds the rules against it, and checks every byte that is read.
 
+mod agreed;
 mod fleet;
 mod hunt;
 mod import;
@@ -12,6 +13,7 @@
 mod settled;
 mod traffic;
 
+pub use agreed::AgreedSeen;
 pub use hunt::{draw, smaller, troubles_text};
 pub use import::import;
 pub use play::{facts, play, Played, AGEING_STEPS};
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -1,5 +1,6 @@
 //! The day itself: everything started, troubles at their times, everything ended, and judged.
 
+use crate::agreed::AgreedWatcher;
 use crate::fleet::{entry, HostProcess, Launch, Nodes, Seat};
 use crate::report::{Report, Served};
 use crate::rig::{How, Rig, Who, TWIN};
@@ -119,6 +120,7 @@
     list_at: SocketAddr,
     rig: Rig,
     watcher: Option<Watcher>,
+    agreed: Option<AgreedWatcher>,
     hosts: Vec<Option<HostProcess>>,
     twins: BTreeMap<u32, HostProcess>,
     /// Hosts that are asked to end, and have not ended yet.
@@ -193,6 +195,9 @@
     }
     let addresses = Arc::new(RwLock::new(reached.iter().map(|(_, front)| *front).collect()));
     let watcher = day.members.then(|| Watcher::start(day.period_ms / 1e3));
+    let sockets = (0..day.hosts).map(|h| admin_socket(dir, h)).collect();
+    let agreed =
+        script.settings.agreement.as_ref().filter(|_| day.members).map(|_| AgreedWatcher::start(sockets));
     let settings = Arc::new(script.settings.clone());
     let mut flows = Vec::new();
     let mut places: BTreeMap<&str, u64> = BTreeMap::new();
@@ -213,6 +218,7 @@
         list_at,
         rig,
         watcher,
+        agreed,
         hosts,
         twins: BTreeMap::new(),
         ending: BTreeSet::new(),
@@ -314,7 +320,7 @@
 
     /// Asks the host that takes changes to make a plan's figures so many times what the settings say. It counts from before
     /// it was asked: a host may go by it sooner than the answer is here.
-    fn plan(&mut self, name: &str, limit_times: f64, burst_times: f64) {
+    fn plan(&mut self, name: &str, (limit_times, burst_times): (f64, f64), ask: Option<u32>) {
         let (s, from) = (&self.script.settings, now_us());
         let Some((live, p)) = s.plans_live.as_ref().zip(s.plans.iter().find(|p| p.name == *name)) else {
             return;
@@ -325,8 +331,10 @@
             slack: p.slack,
             reserve: p.reserve,
             weight: p.weight,
+            floor: p.floor,
         };
-        let socket = admin_socket(&self.dir, live.home);
+        let asked = ask.unwrap_or(live.home);
+        let socket = admin_socket(&self.dir, asked);
         let ask =
             |ask| match tackmast_admin::call(&socket, &Call::Ask(Ask::Plan(ask)), Duration::from_secs(5)) {
                 Ok(Answer::Reply(r)) => Ok(*r),
@@ -334,15 +342,19 @@
             };
         let base = match ask(PlanAsk::Show) {
             Ok(Reply::Plan(PlanReply::Shown(status))) => status.catalogue.version,
-            other => return self.failures.push(format!("plans of host {}: {other:?}", live.home)),
+            other => return self.failures.push(format!("plans of host {asked}: {other:?}")),
         };
         let (limit, burst, slack) = (to.limit, to.burst, to.slack);
         let steps = vec![tackmast_plans::Step::Plan { name: name.to_owned(), to: Some(to) }];
         let (who, why) = ("the day".to_owned(), "its script".to_owned());
         let change = tackmast_plans::Change { base, steps, who, why };
         match ask(PlanAsk::Apply { change, dry_run: false }) {
-            Ok(Reply::Plan(PlanReply::Applied { .. })) => {
-                let in_force_us = now_us() + (live.settle_s * 1e6) as u64;
+            Ok(Reply::Plan(PlanReply::Applied { version, in_force_s, .. })) => {
+                // The watcher counts from here; the rule checker from the same moment.
+                if let Some(w) = &self.agreed {
+                    w.acknowledged(version, in_force_s);
+                }
+                let in_force_us = now_us() + (in_force_s * 1e6) as u64;
                 for v in s.volumes.iter().filter(|v| s.plans[v.plan as usize].name == *name) {
                     let moved = Event::PlanMoved { volume: v.lun, limit, burst, slack, in_force_us };
                     self.recorder.note_at(from, moved);
@@ -412,7 +424,9 @@
                 }
             }
             Action::Ageing { .. } | Action::Pauses { .. } => {}
-            Action::Plan { name, limit_times, burst_times } => self.plan(name, *limit_times, *burst_times),
+            Action::Plan { name, limit_times, burst_times, ask } => {
+                self.plan(name, (*limit_times, *burst_times), *ask)
+            }
             Action::Order { hosts, kind, target, nodes, refused, force } => {
                 let named = self.nodes.named(nodes);
                 let address = |n: &String| self.nodes.node(n).map(|n| Target::Node(n.address()));
@@ -475,7 +489,7 @@
                 self.nodes_do(nodes, &Fault::Restart(*down_s));
             }
             Action::Pauses { .. } | Action::Move { .. } | Action::Client { .. } | Action::Order { .. } => {}
-            Action::Plan { name, .. } => self.plan(name, 1.0, 1.0),
+            Action::Plan { name, ask, .. } => self.plan(name, (1.0, 1.0), *ask),
             Action::List(ListFault::Late(_)) => self.list.set(&ListFault::Late(self.script.list_late_s)),
             Action::List(ListFault::Fails(_)) => self.list.set(&ListFault::Fails(false)),
             Action::List(ListFault::Silent(_)) => self.list.set(&ListFault::Silent(false)),
@@ -544,6 +558,7 @@
             let cpu = hosts.iter().map(|(cpu, _, _)| cpu).sum();
             w.end(self.script.day.hosts, self.began.elapsed().as_secs_f64(), cpu)
         });
+        let agreed = self.agreed.take().map(AgreedWatcher::end);
         self.rig.ways.stop();
         let ends: Vec<HostProcess> = self.hosts.iter_mut().filter_map(Option::take).collect();
         std::thread::scope(|s| ends.into_iter().for_each(|h| _ = s.spawn(|| h.end())));
@@ -561,7 +576,8 @@
                 self.failures.push(format!("rule {r} was not exercised; the script says that this day does"));
             }
         }
-        let report = self.report(seed, rules, view);
+        self.failures.extend(agreed.iter().flat_map(|a| a.broken.clone()));
+        let report = Report { agreed, ..self.report(seed, rules, view) };
         Played { report, trace, hosts }
     }
 
@@ -609,7 +625,15 @@
         }
         let served =
             tallies.iter().map(|((p, st), t)| Served::new(&s.plans[*p].name, &s.streams[*st].name, t));
-        Report { seed, served: served.collect(), blocks_checked: checked, failures, rules, view }
+        Report {
+            seed,
+            served: served.collect(),
+            blocks_checked: checked,
+            failures,
+            rules,
+            view,
+            agreed: None,
+        }
     }
 }
 
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -51,6 +51,8 @@
     pub rules: tackmast_rulecheck::Report,
     /// Of hosts that know of each other.
     pub view: Option<ViewSeen>,
+    /// Of hosts that agree on changes.
+    pub agreed: Option<crate::agreed::AgreedSeen>,
 }
 
 impl Report {
@@ -120,6 +122,13 @@
                 }
             }
         }
+        if let Some(a) = &self.agreed {
+            writeln!(
+                f,
+                "agreement: {} changes, an older version gone by for {:.3} s at most of {:.3} allowed; no leader for {:.2} s; {} answers",
+                a.changes, a.longest_s, a.allowed_s, a.leaderless_s, a.asked
+            )?;
+        }
         for failure in self.failures.iter().take(10) {
             writeln!(f, "FAILED: {failure}")?;
         }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -230,6 +230,8 @@
     #[serde(default)]
     force: bool,
     plan: Option<String>,
+    /// The host that is asked for a change of plans.
+    ask: Option<u32>,
     limit_times: Option<f64>,
     burst_times: Option<f64>,
     #[serde(default)]
@@ -316,6 +318,7 @@
         name: String,
         limit_times: f64,
         burst_times: f64,
+        ask: Option<u32>,
     },
     /// A client at each host that breaks the protocol.
     Client {
@@ -367,9 +370,20 @@
     tick_ms: Option<f64>,
 }
 
-const HOST_BLOCKS: [&str; 9] =
-    ["bounds", "units", "load", "further_legs", "cold_nodes", "plans", "stream", "plan", "volume"];
-const BLOCKS: [&str; 15] = [
+const HOST_BLOCKS: [&str; 10] = [
+    "agreement",
+    "bounds",
+    "units",
+    "load",
+    "further_legs",
+    "cold_nodes",
+    "plans",
+    "stream",
+    "plan",
+    "volume",
+];
+const BLOCKS: [&str; 16] = [
+    "agreement",
     "plans",
     "bounds",
     "units",
@@ -471,7 +485,14 @@
         let before = common.lines().count() - host_blocks.lines().count();
         // Each host gets a store of its own; here one is named since plans ask for it.
         let store = if doc.has("plans") { "\noverrides {\n  store = \"\"\n  admin = \"\"\n}\n" } else { "" };
-        let settings = HostSettings::parse(file, &(common + store))
+        // The same for the way over which hosts agree.
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let place = PeerPlace { listen: nowhere, advertise: None, seeds: Vec::new() };
+        let way = match doc.has("agreement") {
+            true => membership(&place, std::path::Path::new(""), day.period_ms),
+            false => String::new(),
+        };
+        let settings = HostSettings::parse(file, &(common + store + &way))
             .map_err(|e| ConfigError { line: e.line.saturating_sub(before), ..e })?;
         let mut nodes = Vec::new();
         for f in doc.blocks::<NodesBlock>("nodes", true)? {
@@ -787,7 +808,7 @@
         };
         let (limit_times, burst_times) =
             (times("limit_times", t.limit_times)?, times("burst_times", t.burst_times)?);
-        return Ok(Action::Plan { name, limit_times, burst_times });
+        return Ok(Action::Plan { name, limit_times, burst_times, ask: t.ask });
     }
     if let Some(client) = &t.client {
         let how = match client.as_str() {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -44,6 +44,8 @@
     Store(#[from] tackmast_keep::KeepError),
     #[error("plans: {0}. Nothing was changed. To begin anew by the settings, move the store away")]
     Plans(#[from] tackmast_plans::TrailError),
+    #[error("agreement: the store keeps {0} changes of plans that one home took; expected none. Bring the settings of all hosts to what `plan show` says, move the stores away, and start the hosts anew")]
+    Agreement(usize),
     #[error("thread {name}: {error}; expected to start it")]
     Thread { name: String, error: io::Error },
 }
@@ -79,6 +81,7 @@
     clock: Clock,
     urgent: &Sender<core_thread::Event>,
     stopping: &Arc<AtomicBool>,
+    life: u64,
 ) -> Result<Sender<admin::ToStore>, StartError> {
     let (now, wall_us) = (clock.now(), Clock::wall_us());
     let bounds = tackmast_overrides::Settings { most: o.most, zone_part: o.zone_part };
@@ -92,8 +95,20 @@
     }
     core.with_overrides(now, overrides, keep);
     if let Some(b) = &settings.plans_live {
-        let plans = Plans::new(now, settings, b, &held.trail)?;
-        core.with_plans(now, plans, held.trail.is_empty());
+        let agrees = settings.agreement.is_some();
+        let kept: &[u8] = if agrees { &[] } else { &held.trail };
+        let mut plans = Plans::new(now, settings, b, kept)?;
+        if let Some(a) = &settings.agreement {
+            // Changes that one home took are no part of what hosts agree on: they have to stand in the settings first.
+            let changes = held.trail.iter().filter(|b| **b == b'\n').count().saturating_sub(1);
+            if changes > 0 {
+                return Err(StartError::Agreement(changes));
+            }
+            let start = store.open_agreed(life ^ u64::from(std::process::id()).rotate_left(40), life)?;
+            plans.agree();
+            core.with_agreed(tackmast_hostcore::Agreed::new(now, settings, a, start, life));
+        }
+        core.with_plans(now, plans, held.trail.is_empty() && !agrees);
     }
     let (to_store, from) = crossbeam_channel::bounded(EVENTS);
     admin::keep(store, from, urgent.clone())?;
@@ -133,7 +148,9 @@
         let mut threads = Vec::new();
         let list = list::start(settings.clone(), clock, urgent.clone(), stopping.clone())?;
         let to_store = match settings.overrides.as_ref().zip(store) {
-            Some((o, store)) => Some(overrides(o, store, &settings, &mut core, clock, &urgent, &stopping)?),
+            Some((o, store)) => {
+                Some(overrides(o, store, &settings, &mut core, clock, &urgent, &stopping, life)?)
+            }
             None => None,
         };
         let peers = match &settings.membership {
--- a/crates/host/tests/plans.rs
+++ b/crates/host/tests/plans.rs
@@ -94,7 +94,7 @@
 }
 
 fn basic(limit: f64) -> Step {
-    let to = Some(Plan { limit, burst: 64.0, slack: 8.0, reserve: 0.0, weight: 1.0 });
+    let to = Some(Plan { limit, burst: 64.0, slack: 8.0, reserve: 0.0, weight: 1.0, floor: None });
     Step::Plan { name: "basic".into(), to }
 }
 
@@ -141,7 +141,7 @@
 
     // Wrong changes move nothing and say why; nor does one at a host that does not take them.
     assert!(refusal(apply(dir, 1, 0, basic(50.0))).contains("host 0 takes changes"));
-    let burst = Some(Plan { limit: 50.0, burst: 8.0, slack: 8.0, reserve: 0.0, weight: 1.0 });
+    let burst = Some(Plan { limit: 50.0, burst: 8.0, slack: 8.0, reserve: 0.0, weight: 1.0, floor: None });
     let small = Step::Plan { name: "basic".into(), to: burst };
     assert!(refusal(apply(dir, 0, 0, small)).contains("volume v through"));
     let gone = Step::Plan { name: "basic".into(), to: None };
@@ -161,7 +161,14 @@
     // A change far larger than a datagram, and one that takes the first back.
     let many = (0..300).map(|i| Step::Plan {
         name: format!("extra {i}"),
-        to: Some(Plan { limit: 0.0, burst: 0.0, slack: 0.0, reserve: 0.0, weight: 1.0 + f64::from(i) }),
+        to: Some(Plan {
+            limit: 0.0,
+            burst: 0.0,
+            slack: 0.0,
+            reserve: 0.0,
+            weight: 1.0 + f64::from(i),
+            floor: None,
+        }),
     });
     let change = Change { base: 1, steps: many.collect(), who: "bob".into(), why: "many".into() };
     let reply = ask(dir, 0, PlanAsk::Apply { change, dry_run: false });
--- /dev/null
+++ b/crates/hostcore/src/agreed.rs
@@ -0,0 +1,206 @@
+//! The agreement within the host core: its words on the way other hosts are spoken to, its writes, what it brings of plans,
+//! and what operators ask of it. What counts is decided in `tackmast-agreement` and `tackmast-plans`.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use tackmast::interface::{Instant, Span};
+use tackmast_agreement::{
+    Held, Lease, Origin, Parcels, ParcelsSettings, Seat, SeatSettings, Settings, Standing, Word,
+};
+use tackmast_config::{AgreementBlock, HostSettings};
+use tackmast_wire::peer::Body;
+
+/// Entries, and bytes of them, after which they are folded.
+const FOLD_ENTRIES: u64 = 2_000;
+const FOLD_BYTES: usize = 4 << 20;
+/// Reads that wait, at most, and for how long each does.
+pub(crate) const READS: usize = 256;
+pub(crate) const READ_S: f64 = 3.0;
+/// How often a leader looks whether all hosts have what some floor waits for.
+pub(crate) const TOLD_S: f64 = 0.5;
+/// Writes of the agreed log are told of under numbers from here on.
+pub(crate) const WRITES: u64 = 1 << 62;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AgreementAsk {
+    Status,
+    /// One voter more, or one less; asked of the host that leads.
+    Voter {
+        host: u32,
+        votes: bool,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AgreementReply {
+    Status(Box<AgreementStatus>),
+    /// It stands in the log at that place, and holds once most have it.
+    Taken {
+        index: u64,
+    },
+    Refused {
+        why: String,
+    },
+}
+
+/// How a host stands to what is agreed on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AgreementStatus {
+    pub host: u32,
+    pub life: u64,
+    /// Leads, follows, or asks for votes.
+    pub role: String,
+    pub term: u64,
+    pub leader: Option<u32>,
+    pub voters: Vec<u32>,
+    pub votes: bool,
+    pub founded: bool,
+    /// Its disk takes no writes.
+    pub failed: bool,
+    pub last: u64,
+    pub commit: u64,
+    pub folded: u64,
+    /// Of the plans that it goes by, and the newest that all hosts have, as was agreed.
+    pub version: u64,
+    pub told: u64,
+    /// Holds, past or never; and seconds until its end, or since.
+    pub lease: String,
+    pub lease_s: f64,
+    /// It goes by the floors.
+    pub posture: bool,
+    /// Seconds until all hosts go by the newest that this one has.
+    pub in_force_s: f64,
+    /// Where it leads: by host, the entries that it said it has, and seconds since.
+    pub has: BTreeMap<u32, (u64, f64)>,
+    pub elections: u64,
+    pub commits: u64,
+    pub granted: u64,
+    pub wrong_disks: u64,
+    pub lost: u64,
+}
+
+/// What a host's disk has of the agreement.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AgreedStart {
+    pub of: Origin,
+    pub held: Held,
+}
+
+pub struct Agreed {
+    pub(crate) seat: Seat,
+    pub(crate) parcels: Parcels,
+    pub(crate) settings: Settings,
+    /// Changes of this host: their numbers, and who waits for what.
+    pub(crate) changes: BTreeMap<u32, u64>,
+    /// Who waits for what is newest: by number of the ask, until when, and what for.
+    pub(crate) reads: Vec<(u32, Instant, u64, crate::PlanAsk)>,
+    /// Where the newest change of plans stands in the log.
+    pub(crate) changed_at: u64,
+    pub(crate) told_at: Instant,
+    me: u32,
+}
+
+pub fn agreement_settings(s: &HostSettings, a: &AgreementBlock) -> Settings {
+    Settings {
+        beat: Span::from_secs(a.beat_ms / 1e3),
+        patience: Span::from_secs(a.patience_ms / 1e3),
+        lease: Span::from_secs(a.lease_s),
+        drift: a.drift,
+        hosts: s.host.hosts,
+        fold_entries: FOLD_ENTRIES,
+        fold_bytes: FOLD_BYTES,
+    }
+}
+
+impl Agreed {
+    pub fn new(now: Instant, s: &HostSettings, a: &AgreementBlock, start: AgreedStart, seed: u64) -> Agreed {
+        let (me, settings) = (s.host.number, agreement_settings(s, a));
+        let first = (start.of.life as u32).wrapping_mul(0x9e37_79b1);
+        let seat = SeatSettings {
+            me,
+            of: start.of,
+            agree: settings,
+            founders: a.voters.iter().copied().collect(),
+            held: start.held,
+            seed,
+        };
+        Agreed {
+            seat: Seat::new(now, seat),
+            parcels: Parcels::new(ParcelsSettings { again: settings.beat }, first),
+            settings,
+            changes: BTreeMap::new(),
+            reads: Vec::new(),
+            changed_at: 0,
+            told_at: now,
+            me,
+        }
+    }
+
+    pub fn next_wake(&self, now: Instant) -> Instant {
+        let reads = self.reads.iter().map(|(_, until, _, _)| *until);
+        let all = [Some(self.seat.next_wake(now)), self.parcels.next_wake()];
+        all.into_iter().flatten().chain(reads).fold(self.seat.next_wake(now), Instant::min)
+    }
+
+    /// A word, once it is whole.
+    pub(crate) fn came(&mut self, now: Instant, from: std::net::SocketAddr, body: Body) -> Option<Word> {
+        let bytes = match body {
+            Body::Agree { bytes } => bytes,
+            Body::Parcel { number, pieces, piece, bytes } => {
+                self.parcels.came(now, from, number, pieces, piece, bytes)?
+            }
+            Body::ParcelWant { number, piece } => {
+                self.parcels.wanted(from, number, piece);
+                return None;
+            }
+            _ => return None,
+        };
+        Word::decode(bytes).ok()
+    }
+
+    /// Seconds from a change's commit until all hosts go by it.
+    pub fn settle(&self) -> Span {
+        Lease::until_all(self.settings.lease, self.settings.drift)
+    }
+
+    pub fn standing(&self, now: Instant) -> Standing {
+        self.seat.standing(now)
+    }
+
+    pub fn status(&self, now: Instant) -> AgreementStatus {
+        let (s, c) = (self.seat.status(now), self.seat.voter.counters);
+        let (lease, lease_s) = match self.seat.standing(now) {
+            Standing::Holds { until } => ("holds", (until - now).secs()),
+            Standing::Past { since } => ("past", (now - since).secs()),
+            Standing::Never => ("never", 0.0),
+        };
+        AgreementStatus {
+            host: self.me,
+            life: self.seat.voter.of().life,
+            role: s.role.into(),
+            term: s.term,
+            leader: s.leader,
+            voters: s.voters.keys().copied().collect(),
+            votes: s.votes,
+            founded: s.founded,
+            failed: s.failed,
+            last: s.last,
+            commit: s.commit,
+            folded: s.folded,
+            version: 0,
+            told: 0,
+            lease: lease.into(),
+            lease_s,
+            posture: false,
+            in_force_s: (self.seat.in_force_at(now) - now).secs(),
+            has: s.has.into_iter().map(|(h, (has, ago))| (h, (has, ago.secs()))).collect(),
+            elections: c.elections,
+            commits: c.commits,
+            granted: c.granted,
+            wrong_disks: c.wrong_disks,
+            lost: c.lost_full + self.parcels.lost,
+        }
+    }
+}
--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -1,5 +1,6 @@
 //! The state machine: inputs, the tables, and the outputs.
 
+mod agreed;
 mod commands;
 mod fellows;
 mod legs;
@@ -7,6 +8,7 @@
 mod orders;
 
 use crate::admission::{Admission, Held};
+use crate::agreed::Agreed;
 use crate::combine::{combine, Combined, PartEnd};
 use crate::fellows::{Fellows, Followed};
 use crate::layout::{key_id, Layout};
@@ -281,6 +283,7 @@
     orders: Option<Orders>,
     fellows: Option<Fellows>,
     plans: Option<Plans>,
+    agreed: Option<Agreed>,
     /// The host is ending: since when, and nothing new is taken.
     draining: bool,
     number: u32,
@@ -356,6 +359,7 @@
             orders: None,
             fellows: None,
             plans: None,
+            agreed: None,
             draining: false,
             number: 0,
             wall_offset_us: 0,
@@ -412,6 +416,7 @@
     /// Time has passed: legs whose time is up end.
     pub fn tick(&mut self, now: Instant) {
         self.tick_orders(now);
+        self.tick_agreed(now);
         if self.fellows.as_ref().is_some_and(|f| f.member.next_wake() <= now) {
             if let Some(f) = &mut self.fellows {
                 f.member.tick(now);
@@ -461,6 +466,8 @@
             if let Some(o) = self.outputs.pop_front() {
                 return Some(o);
             }
+            // Whatever came meanwhile, and however long this host stood still: nothing leaves by what counts no more.
+            self.look_at_lease(now);
             let decision = self.scheduler.next_decision(now)?;
             self.carry_out(now, decision);
         }
@@ -472,7 +479,8 @@
         let cut = self.cuts.first().map(|(t, _)| *t);
         let ends = self.orders.as_ref().and_then(|o| o.next(now));
         let fellows = self.fellows.as_ref().map(|f| f.member.next_wake());
-        [leg, cut, ends, fellows, self.scheduler.next_wake()].into_iter().flatten().min()
+        let agreed = self.agreed.as_ref().map(|a| a.next_wake(now));
+        [leg, cut, ends, fellows, agreed, self.scheduler.next_wake()].into_iter().flatten().min()
     }
 }
 
--- a/crates/hostcore/src/core/fellows.rs
+++ b/crates/hostcore/src/core/fellows.rs
@@ -5,6 +5,10 @@
 impl Core {
     /// Against a host that comes back with plans that have moved meanwhile: a lower limit may be in force by now.
     pub(super) fn clients_wait(&mut self, now: Instant) -> bool {
+        if self.agreed.is_some() {
+            // What may have changed is held back by the posture of a host without a lease.
+            return false;
+        }
         let Some(plans) = &mut self.plans else { return false };
         let up_to_date = self.fellows.as_ref().is_none_or(|f| f.member.papers.is_up_to_date());
         plans.clients_wait(now, up_to_date)
@@ -17,11 +21,17 @@
             let keep = Keep { changes: vec![(0, plans.anchor_line())], ..Keep::default() };
             self.outputs.push_back(Output::Keep { request: 0, keep });
         }
-        if let Some(f) = &mut self.fellows {
+        if let Some(f) = self.fellows.as_mut().filter(|_| self.agreed.is_none()) {
             f.begin_papers(&plans);
         }
         self.plans = Some(plans);
         self.go_by(now, &resumed);
+        if self.agreed.is_some() {
+            // Until it has a lease this host goes by the floors.
+            let moves = self.plans.as_mut().map(|p| p.all_moves()).unwrap_or_default();
+            self.go_by(now, &moves);
+            self.follow_agreed(now);
+        }
     }
 
     pub fn plans(&self) -> Option<&Plans> {
@@ -63,6 +73,9 @@
 
     pub(super) fn ask_plans(&mut self, now: Instant, request: u64, ask: PlanAsk) {
         let wall_us = self.wall_us(now);
+        if self.agreed.is_some() {
+            return self.ask_agreed(now, wall_us, request, ask);
+        }
         // Against two changes of one number: a home that has lost what others go by takes that back first.
         let writes = matches!(ask, PlanAsk::Apply { .. } | PlanAsk::Undo { .. });
         if let Some(n) = self.fellows.as_ref().and_then(|f| f.member.papers.behind()).filter(|_| writes) {
@@ -97,7 +110,8 @@
             orders.me = Some(fellows.me());
         }
         self.fellows = Some(fellows);
-        if let Some((f, plans)) = self.fellows.as_mut().zip(self.plans.as_ref()) {
+        let alone = self.agreed.is_none();
+        if let Some((f, plans)) = self.fellows.as_mut().zip(self.plans.as_ref()).filter(|_| alone) {
             f.begin_papers(plans);
         }
         self.go_by(now, &[]);
@@ -160,6 +174,7 @@
                     let keep = Keep { members: Some(r), ..Keep::default() };
                     self.outputs.push_back(Output::Keep { request: 0, keep });
                 }
+                Followed::Word { from, slot, body } => self.agreed_word(now, from, slot, body),
                 Followed::Paper(p) => {
                     let Some(plans) = &mut self.plans else { continue };
                     let ends = f.member.papers.ends(p.number, now);
--- a/crates/hostcore/src/core/orders.rs
+++ b/crates/hostcore/src/core/orders.rs
@@ -34,6 +34,7 @@
     pub fn ask(&mut self, now: Instant, request: u64, ask: Ask) {
         let ask = match ask {
             Ask::Plan(ask) if self.plans.is_some() => return self.ask_plans(now, request, ask),
+            Ask::Agreement(ask) => return self.ask_agreement(now, request, ask),
             other => other,
         };
         let wall_us = self.wall_us(now);
@@ -66,6 +67,9 @@
 
     /// The store's word on a `Keep`.
     pub fn kept(&mut self, now: Instant, request: u64, result: Result<(), String>) {
+        if self.agreed_kept(now, request, &result) {
+            return;
+        }
         let plans = self.plans.as_mut().and_then(|p| p.kept(now, request, result.clone()));
         if let Some((reply, holds)) = plans {
             if let Some(h) = holds {
--- a/crates/hostcore/src/fellows.rs
+++ b/crates/hostcore/src/fellows.rs
@@ -14,6 +14,7 @@
     SpreadOrder, ViewSettings, Ways,
 };
 use tackmast_overrides::{Kind, Order, Origin, Override, OverrideId};
+use tackmast_wire::peer::Body;
 
 /// Asks that follow from other hosts' orders have numbers from here on.
 const OWN: u64 = 1 << 63;
@@ -48,6 +49,11 @@
     Paper(Paper),
     /// To be written down for the next life.
     Remember(Remembered),
+    Word {
+        from: SocketAddr,
+        slot: u32,
+        body: Body,
+    },
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -249,6 +255,7 @@
                 Output::Mode(line) => Followed::Mode(line),
                 Output::Paper(p) => Followed::Paper(p),
                 Output::Remember(r) => Followed::Remember(r),
+                Output::Word { from, slot, body } => Followed::Word { from, slot, body },
                 Output::Do(d) => match self.asked(d) {
                     Some(ask) => {
                         self.asks += 1;
--- a/crates/hostcore/src/lib.rs
+++ b/crates/hostcore/src/lib.rs
@@ -4,6 +4,7 @@
 //! and answers for commands of several parts. docs/host.md describes it.
 
 mod admission;
+mod agreed;
 mod combine;
 mod core;
 mod fellows;
@@ -16,6 +17,7 @@
 mod ticket;
 
 pub use crate::core::{CommandRef, Core, Counters, LegBack, LegId, LegWork, Output, SendLeg, Verdict, Work};
+pub use agreed::{agreement_settings, Agreed, AgreedStart, AgreementAsk, AgreementReply, AgreementStatus};
 pub use combine::{combine, Combined, PartEnd};
 pub use fellows::{member_settings, DeathStatus, Fellows, MembersStatus, PeerStatus, SiteStatus};
 pub use layout::{Layout, Part};
--- a/crates/hostcore/src/orders.rs
+++ b/crates/hostcore/src/orders.rs
@@ -26,6 +26,7 @@
     Status,
     Members,
     Plan(crate::PlanAsk),
+    Agreement(crate::AgreementAsk),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -49,6 +50,7 @@
     Status(Box<OrdersStatus>),
     Members(Box<crate::MembersStatus>),
     Plan(crate::PlanReply),
+    Agreement(crate::AgreementReply),
     Refused(Refusal),
     /// It could not be kept, so it does not hold.
     NotKept {
@@ -85,6 +87,8 @@
     pub changes: Vec<(u64, Vec<u8>)>,
     /// Other hosts for the next life to call, and the number of this one's life.
     pub members: Option<tackmast_membership::Remembered>,
+    /// Of the agreed log.
+    pub agreed: Option<Box<tackmast_agreement::Write>>,
 }
 
 enum Pending {
@@ -161,6 +165,10 @@
             }
             Ask::Status => Next::Reply(request, Reply::Status(Box::default())),
             Ask::Members => Next::Reply(request, Reply::Members(Box::default())),
+            Ask::Agreement(_) => Next::Reply(
+                request,
+                Reply::NotKept { why: "this host has no agreement block in its settings".into() },
+            ),
             // Not an order: the host's plans answer it.
             Ask::Plan(_) => Next::Reply(
                 request,
--- a/crates/hostcore/src/plans.rs
+++ b/crates/hostcore/src/plans.rs
@@ -7,12 +7,16 @@
 use tackmast::interface::{Instant, Plan as Figures, PlanId, Span};
 use tackmast_config::{HostSettings, PlansBlock};
 use tackmast_membership::{MOST_BYTES, MOST_PAPERS};
-use tackmast_plans::{Catalogue, Change, Entry, Fleet, Plan, Step, StreamType, Trail, TrailError, Volume};
+use tackmast_plans::{
+    Agreed, Catalogue, Change, Command, Entry, Fleet, Plan, Step, StreamType, Trail, TrailError, Volume,
+};
 
 /// Asks that may wait for the one before them to be kept.
 const WAITING: usize = 256;
 /// Plans that the module knows by number: names that were ever used since this host's start.
 const NAMES: usize = 100_000;
+/// Units a second that stand for none at all.
+const NOTHING: f64 = 1e-6;
 /// Bytes of a trail that are shown in one answer.
 const SHOWN: usize = 3 << 20;
 
@@ -69,6 +73,9 @@
     pub waits: bool,
     /// By host, the change that it last said it goes by.
     pub at: BTreeMap<u32, u64>,
+    /// Hosts agree on changes, and this one could not ask whether there is a newer one.
+    #[serde(default)]
+    pub stale: bool,
 }
 
 /// What the module and the layout are to be told.
@@ -94,8 +101,20 @@
     pub line: String,
 }
 
+/// A command of the agreed log that holds: what moves here, the entry of the trail that it made, and what whoever asked for
+/// it is told.
+pub struct AgreedHolds {
+    pub moves: Vec<Move>,
+    pub entry: Option<Entry>,
+    pub lines: Vec<String>,
+}
+
 pub struct Plans {
     trail: Trail,
+    /// In place of the trail, where hosts agree on changes.
+    agreed: Option<Agreed>,
+    /// This host can't know whether what it has still counts: it goes by the floors.
+    posture: bool,
     fleet: Fleet,
     me: u32,
     home: u32,
@@ -113,7 +132,7 @@
     let mut c = Catalogue::default();
     for p in &s.plans {
         let (limit, burst, slack, reserve, weight) = (p.limit, p.burst, p.slack, p.reserve, p.weight);
-        c.plans.insert(p.name.clone(), Plan { limit, burst, slack, reserve, weight });
+        c.plans.insert(p.name.clone(), Plan { limit, burst, slack, reserve, weight, floor: p.floor });
     }
     for st in &s.streams {
         let (slo_ms, expiry_ms) = (st.slo.secs() * 1e3, st.expiry.secs() * 1e3);
@@ -166,6 +185,8 @@
         let alone = s.host.number == b.home || s.membership.is_none();
         Ok(Plans {
             trail,
+            agreed: None,
+            posture: false,
             fleet,
             me: s.host.number,
             home: b.home,
@@ -178,9 +199,101 @@
         })
     }
 
+    fn trail(&self) -> &Trail {
+        self.agreed.as_ref().map_or(&self.trail, |a| &a.trail)
+    }
+
+    /// From here on hosts agree on changes; until it has a lease this host goes by the floors.
+    pub fn agree(&mut self) {
+        self.agreed = Some(Agreed::starting(self.trail.anchor.catalogue.clone()));
+        (self.posture, self.waits) = (true, None);
+    }
+
+    /// Of what hosts agree on: the newest version that all have, as was agreed, and whether something waits for that.
+    pub fn told(&self) -> (u64, bool) {
+        self.agreed.as_ref().map_or((0, false), |a| (a.told(), a.waits()))
+    }
+
+    pub fn version(&self) -> u64 {
+        self.trail().catalogue.version
+    }
+
+    /// What the agreed log's entries led to.
+    pub fn agreed_bytes(&self) -> Vec<u8> {
+        self.agreed.as_ref().map(Agreed::to_bytes).unwrap_or_default()
+    }
+
+    pub fn agreed_restore(&mut self, state: &[u8]) -> Result<Vec<Move>, TrailError> {
+        let from = self.trail().catalogue.clone();
+        self.agreed = Some(Agreed::from_bytes(state, &self.fleet)?);
+        let to = self.trail().catalogue.clone();
+        Ok(self.moves(&from, &to))
+    }
+
+    /// The change that takes an entry back.
+    pub fn undoing(&self, number: u64, who: &str, why: &str) -> Result<Change, String> {
+        let found = self.trail().undoing(number, who, why);
+        found.ok_or_else(|| format!("change {number}: not in the trail; expected one that `log` shows"))
+    }
+
+    /// Whether what this host has may count no more; what moves by that.
+    pub fn stands(&mut self, posture: bool) -> Vec<Move> {
+        if std::mem::replace(&mut self.posture, posture) == posture {
+            return Vec::new();
+        }
+        self.all_moves()
+    }
+
+    /// Each plan as it is told now.
+    pub fn all_moves(&mut self) -> Vec<Move> {
+        let to = self.trail().catalogue.clone();
+        let mut nothing = to.clone();
+        nothing.plans.clear();
+        self.moves(&nothing, &to)
+    }
+
+    pub fn is_in_posture(&self) -> bool {
+        self.posture
+    }
+
+    /// What a change would move, as far as this host knows.
+    pub fn agreed_try(&self, at_us: u64, change: Change) -> Result<(u64, u64, Vec<String>), String> {
+        let Some(a) = &self.agreed else { return Err("hosts do not agree on plans here".into()) };
+        let (entry, next) = a.propose(at_us, change, &self.fleet).map_err(|r| r.to_string())?;
+        Ok((entry.number, entry.version, self.trail().catalogue.diff(&next)))
+    }
+
+    /// A command of the agreed log holds: what moves here, and what whoever asked for it is told.
+    pub fn agreed_holds(&mut self, command: Command) -> Result<AgreedHolds, String> {
+        let before = self.trail().catalogue.clone();
+        let Some(a) = &mut self.agreed else { return Err("hosts do not agree on plans here".into()) };
+        let entry = a.apply(command, &self.fleet).map_err(|r| r.to_string())?;
+        let to = self.trail().catalogue.clone();
+        Ok(AgreedHolds { moves: self.moves(&before, &to), entry, lines: before.diff(&to) })
+    }
+
+    /// As the module is told of a plan. A host that can't know whether it still holds keeps to what none may go below: the
+    /// floor, and a burst that every plan of these volumes has to have.
+    fn figures(&self, name: &str, p: &Plan, of: &Catalogue) -> Figures {
+        let floor = p.kept_floor();
+        let (limit, burst, slack, reserve, weight) = (p.limit, p.burst, p.slack, p.reserve, p.weight);
+        if !self.posture || floor.is_infinite() {
+            return Figures { limit, burst, slack, reserve, weight };
+        }
+        if floor <= 0.0 {
+            // A limit of nothing at all is told as a least one: none would be no limit. Without a burst nothing can leave, and
+            // its answer comes at once.
+            return Figures { limit: NOTHING, burst: 0.0, slack, reserve: 0.0, weight };
+        }
+        let through = of.volumes.values().filter(|v| v.plan == name).map(|v| v.through.len()).min();
+        let least = self.fleet.most_units * through.unwrap_or(0) as f64;
+        let (burst, reserve) = (if burst > 0.0 { burst.min(least) } else { least }, reserve.min(floor));
+        Figures { limit: floor, burst, slack, reserve, weight }
+    }
+
     /// Number and mark of the newest change.
     pub fn newest_mark(&self) -> (u64, u64) {
-        let (number, digest) = self.trail.newest();
+        let (number, digest) = self.trail().newest();
         (number, mark(digest))
     }
 
@@ -216,7 +329,7 @@
                 return Some(PlanNext::Reply(request, shown));
             }
             PlanAsk::Log => {
-                let text = String::from_utf8(self.trail.to_bytes()).unwrap_or_default();
+                let text = String::from_utf8(self.trail().to_bytes()).unwrap_or_default();
                 if text.len() > SHOWN {
                     return refused(format!("the trail has {} bytes; an answer holds {SHOWN}", text.len()));
                 }
@@ -224,13 +337,9 @@
                 return Some(PlanNext::Reply(request, PlanReply::Log { text, fleet }));
             }
             PlanAsk::Apply { change, dry_run } => (change.clone(), *dry_run),
-            PlanAsk::Undo { number, who, why, dry_run } => match self.trail.undoing(*number, who, why) {
-                Some(change) => (change, *dry_run),
-                None => {
-                    return refused(format!(
-                        "change {number}: not in the trail; expected one that `log` shows"
-                    ))
-                }
+            PlanAsk::Undo { number, who, why, dry_run } => match self.undoing(*number, who, why) {
+                Ok(change) => (change, *dry_run),
+                Err(why) => return refused(why),
             },
         };
         if self.me != self.home {
@@ -349,8 +458,7 @@
         for (name, p) in to.plans.iter().filter(|(n, p)| from.plans.get(*n) != Some(*p)) {
             let next = PlanId(self.numbers.len() as u32);
             let plan = *self.numbers.entry(name.clone()).or_insert(next);
-            let (limit, burst, slack, reserve, weight) = (p.limit, p.burst, p.slack, p.reserve, p.weight);
-            all.push(Move::Plan { plan, figures: Figures { limit, burst, slack, reserve, weight } });
+            all.push(Move::Plan { plan, figures: self.figures(name, p, to) });
         }
         let plan_of = |c: &Catalogue, n: &String| c.volumes.get(n).map(|v| v.plan.clone());
         for (name, v) in to.volumes.iter().filter(|(n, v)| plan_of(from, n).as_ref() != Some(&v.plan)) {
@@ -362,16 +470,16 @@
 
     /// Limit, burst and slack of a volume as they hold here.
     pub fn limit_of(&self, volume: &str) -> Option<(f64, f64, f64)> {
-        let v = self.trail.catalogue.volumes.get(volume)?;
-        self.trail.catalogue.plans.get(&v.plan).map(|p| (p.limit, p.burst, p.slack))
+        let v = self.trail().catalogue.volumes.get(volume)?;
+        self.trail().catalogue.plans.get(&v.plan).map(|p| (p.limit, p.burst, p.slack))
     }
 
     pub fn newest(&self) -> u64 {
-        self.trail.newest().0
+        self.trail().newest().0
     }
 
     pub fn status(&self, now: Instant) -> PlanStatus {
-        let (number, digest) = self.trail.newest();
+        let (number, digest) = self.trail().newest();
         PlanStatus {
             host: self.me,
             home: self.home,
@@ -379,10 +487,11 @@
             digest: digest.to_owned(),
             in_force_s: (self.ends - now).secs().max(0.0),
             settle_s: self.settle.secs(),
-            catalogue: self.trail.catalogue.clone(),
+            catalogue: self.trail().catalogue.clone(),
             fleet: self.fleet.clone(),
             waits: self.waits.is_some(),
             at: BTreeMap::new(),
+            stale: false,
         }
     }
 }
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -1,6 +1,8 @@
 //! Overrides and their audit trail in an embedded store (redb). A write is one transaction, synced before it is
 //! told of; what was told of is there after any crash, and nothing half-done is.
 
+mod agreed;
+
 use redb::{Database, ReadableTable, ReadableTableMetadata, TableDefinition};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,6 +14,9 @@
 /// Audit lines kept; the oldest go first.
 const AUDITS: u64 = 100_000;
 
+/// Of the agreed log: entries by place, and the rest by name.
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("agreed entries");
+const AGREED: TableDefinition<&str, &[u8]> = TableDefinition::new("agreed");
 const META: TableDefinition<&str, u64> = TableDefinition::new("tackmast");
 const OVERRIDES: TableDefinition<u64, &[u8]> = TableDefinition::new("overrides");
 const AUDIT: TableDefinition<u64, &[u8]> = TableDefinition::new("audit");
@@ -50,6 +55,8 @@
     pub next: u64,
     /// The trail of changes of plans, as it was written.
     pub trail: Vec<u8>,
+    /// Of the agreed log; none before the first.
+    pub agreed: Option<tackmast_hostcore::AgreedStart>,
     /// What an earlier life knew of other hosts, and the number of that life.
     pub members: Remembered,
 }
@@ -144,7 +151,15 @@
                 members.hosts.push((key.value() as u32, one.0, one.1));
             }
         }
-        Ok(Held { overrides, next: number("next override")?.unwrap_or(1), trail, members })
+        let agreed = agreed::read(&r)?;
+        Ok(Held { overrides, next: number("next override")?.unwrap_or(1), trail, agreed, members })
+    }
+
+    /// The agreed log is opened once more: its disk's mark, drawn where there was none, and how often it was. It is on the
+    /// disk when this returns, and nothing may be said of the log before.
+    pub fn open_agreed(&self, drawn: u64, life: u64) -> Result<tackmast_hostcore::AgreedStart, KeepError> {
+        let wrong = |problem: String| KeepError::Write { path: self.path.clone(), problem };
+        agreed::open(&self.db, drawn, life).map_err(wrong)
     }
 
     /// Writes all of it or nothing; it is on the disk when this returns.
@@ -185,6 +200,9 @@
                     members.insert(u64::from(*slot), bytes.as_slice())?;
                 }
             }
+            if let Some(a) = &k.agreed {
+                agreed::write(&w, a)?;
+            }
             let mut audit = w.open_table(AUDIT)?;
             let first = audit.last()?.map_or(0, |(n, _)| n.value() + 1);
             for (line, a) in (first..).zip(&k.audits) {
--- a/crates/keep/tests/crash.rs
+++ b/crates/keep/tests/crash.rs
@@ -4,6 +4,7 @@
 use redb::StorageBackend;
 use std::io;
 use std::sync::{Arc, Mutex};
+use tackmast_agreement::{Base, Entry, Hard, Mark, Voters, What, Write};
 use tackmast_hostcore::{Keep, Remembered};
 use tackmast_keep::Store;
 use tackmast_overrides::*;
@@ -82,7 +83,25 @@
     let host = |h: u32| (h, id, std::net::SocketAddr::from(([10, 0, 0, h as u8], 7400)));
     let members = Some(Remembered { life: id, hosts: (0..id as u32).map(host).collect() });
     let audits = vec![Audit::set(&record(id), false)];
-    Keep { put: vec![record(id)], remove: vec![], audits, changes, members }
+    Keep {
+        put: vec![record(id)],
+        remove: vec![],
+        audits,
+        changes,
+        members,
+        agreed: Some(Box::new(agreed(id))),
+    }
+}
+
+/// Of the agreed log: its entry of that number, the term and vote of that number, and from the third on a state that the
+/// first two were folded into.
+fn agreed(id: u64) -> Write {
+    let hard = Some(Hard { term: id, vote: Some(id as u32) });
+    let entry = Entry { term: id, what: What::Data(vec![id as u8; 3].into()) };
+    let last = Mark { term: 2, index: 2 };
+    let base = Base { id: 7, last, voters: Voters::from([(0, 9)]), state: vec![1, 2, 3].into() };
+    let base = (id == 3).then_some(base);
+    Write { receipt: id, hard, base, entries: Some((id, vec![entry])), ..Write::default() }
 }
 
 fn clear(id: u64) -> Keep {
@@ -151,6 +170,15 @@
                 |n: usize| keeps.iter().take(n).filter_map(|k| k.members.as_ref()).map(|m| m.life).max();
             let lives = [lives(done).unwrap_or(0), lives(done + 1).unwrap_or(0)];
             assert!(lives.contains(&life), "cut {cut}: life {life}");
+            // Of the agreed log all of a write is there, or nothing: its term, its entries and what was folded.
+            if let Some(a) = &held.agreed {
+                let term = a.held.hard.term;
+                assert!([puts(done) as u64, puts(done + 1) as u64].contains(&term), "cut {cut}: term {term}");
+                let last = a.held.base.last.index + a.held.entries.len() as u64;
+                assert_eq!((last, a.held.base.id), (term, if term >= 3 { 7 } else { 0 }), "cut {cut}");
+            } else {
+                assert_eq!(puts(done), 0, "cut {cut}: no agreed log");
+            }
             store.keep(&put(9)).unwrap();
             cuts += 1;
         }
--- a/crates/lab/src/sim/orders.rs
+++ b/crates/lab/src/sim/orders.rs
@@ -89,6 +89,7 @@
             slack: p.slack,
             reserve: p.reserve,
             weight,
+            floor: p.floor,
         };
         let Some(core) = self.hosts[home].core.core() else { return };
         let Some(base) = core.plans().map(|p| p.status(now).catalogue.version) else { return };
--- a/crates/lab/src/views/world.rs
+++ b/crates/lab/src/views/world.rs
@@ -268,7 +268,7 @@
                     self.post(p, to, &bytes);
                 }
                 Output::Remember(r) => self.all[p].disk = r,
-                Output::Mode(_) | Output::Do(_) | Output::Paper(_) => {}
+                Output::Mode(_) | Output::Do(_) | Output::Paper(_) | Output::Word { .. } => {}
             }
         }
         let x = &mut self.all[p];
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -62,6 +62,12 @@
     Paper(Paper),
     /// To be written down for the next life, in place of what was before.
     Remember(Remembered),
+    /// A word on the agreed log, or a piece of one, from the address at which that host is known.
+    Word {
+        from: SocketAddr,
+        slot: u32,
+        body: Body,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -238,6 +244,17 @@
                 self.papers.heard(now, from, slot, &paper);
                 return self.settle(now);
             }
+            body @ (Body::Agree { .. } | Body::Parcel { .. } | Body::ParcelWant { .. }) => {
+                // As with loans: a word counts from the address at which its host is known.
+                if self.view.address(slot) != Some(from) {
+                    self.counters.false_names += 1;
+                } else if self.outputs.len() < WAITING {
+                    self.outputs.push_back(Output::Word { from, slot, body });
+                } else {
+                    self.counters.lost_full += 1;
+                }
+                return self.settle(now);
+            }
             other => {
                 self.view.heard(now, from, slot, &other);
                 return self.settle(now);
@@ -467,6 +484,11 @@
         self.settle(now);
     }
 
+    /// A word on the agreed log, or a piece of one, goes there.
+    pub fn post(&mut self, to: SocketAddr, body: Body) {
+        self.push(to, body, Vec::new());
+    }
+
     pub fn cleared(&mut self, name: Name) {
         self.spread.cleared(name);
     }
--- a/crates/plans/src/catalogue.rs
+++ b/crates/plans/src/catalogue.rs
@@ -15,6 +15,22 @@
     pub slack: f64,
     pub reserve: f64,
     pub weight: f64,
+    /// Units a second that no later limit goes below before all hosts have word of a lower floor; a host past its lease goes
+    /// by this. None: nothing, or, where there is no limit, that none comes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub floor: Option<f64>,
+}
+
+impl Plan {
+    /// What a host that can't know whether this plan still holds may go by, units a second; without a bound where no limit
+    /// may come.
+    pub fn kept_floor(&self) -> f64 {
+        match (self.floor, self.limit > 0.0) {
+            (Some(f), _) => f,
+            (None, true) => 0.0,
+            (None, false) => f64::INFINITY,
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -227,6 +243,11 @@
             if !(p.weight.is_finite() && p.weight > 0.0) {
                 return Err(wrong(at("weight"), p.weight, "a number above 0"));
             }
+            if let Some(f) =
+                p.floor.filter(|f| !(f.is_finite() && *f >= 0.0 && (p.limit == 0.0 || *f <= p.limit)))
+            {
+                return Err(wrong(at("floor"), f, "a number from 0 to the limit"));
+            }
             if p.limit > 0.0 && p.reserve > p.limit {
                 return Err(wrong(at("reserve"), p.reserve, &format!("at most the limit, {}", p.limit)));
             }
--- a/crates/plans/tests/plans.rs
+++ b/crates/plans/tests/plans.rs
@@ -3,7 +3,7 @@
 use tackmast_plans::*;
 
 fn plan(limit: f64) -> Plan {
-    Plan { limit, burst: 60.0, slack: 8.0, reserve: 5.0, weight: 1.0 }
+    Plan { limit, burst: 60.0, slack: 8.0, reserve: 5.0, weight: 1.0, floor: None }
 }
 
 fn volume(lun: u32, plan: &str) -> Volume {
