--- /dev/null
+++ b/crates/hostcore/tests/agreed.rs
@@ -0,0 +1,340 @@
+//! Hosts that agree on plans, in virtual time: what one without a lease goes by, floors that move in two steps, changes at any
+//! host. The very cores, their datagrams passed on at once and their writes done at once.
+
+use bytes::Bytes;
+use std::net::SocketAddr;
+use tackmast::interface::*;
+use tackmast_agreement::Origin;
+use tackmast_config::HostSettings;
+use tackmast_hostcore::*;
+use tackmast_plans::{Change, Plan, Step};
+
+const HOSTS: u32 = 4;
+
+fn settings(host: u32, floor: &str) -> HostSettings {
+    let text = format!(
+        r#"
+host {{
+  number = {host}
+  hosts = {HOSTS}
+  listen = "127.0.0.1:0"
+  node_list = "127.0.0.1:1"
+  answer_lead_ms = 0
+}}
+load {{
+  longest_wait_s = 1
+}}
+units {{
+  bytes = 4096
+  most = 8
+  mean = 1
+}}
+plan "basic" {{
+  limit = 200
+  burst = 200
+  slack = 8
+  {floor}
+}}
+plan "free" {{ }}
+stream "s" {{
+  slo_ms = 200
+  expiry_ms = 1000
+  effect = "repeatable"
+}}
+volume "v" {{
+  lun = 1
+  plan = "basic"
+  blocks = 10000
+  extent_blocks = 64
+  shards = [0]
+  hosts = {HOSTS}
+  through = [0, 1, 2, 3]
+  reads = "s"
+  writes = "s"
+}}
+volume "w" {{
+  lun = 2
+  plan = "free"
+  blocks = 10000
+  extent_blocks = 64
+  shards = [0]
+  hosts = {HOSTS}
+  through = [0, 1, 2, 3]
+  reads = "s"
+  writes = "s"
+}}
+overrides {{
+  store = "s"
+  admin = "a"
+}}
+plans {{
+  node_units = 500
+}}
+agreement {{
+  voters = [0, 1, 2]
+  lease_s = 1
+  beat_ms = 50
+  patience_ms = 300
+}}
+membership {{
+  listen = "{listen}"
+  fleet = "test"
+  seeds = ["{seed}"]
+  admit = ["10.0.0.0/8"]
+  period_ms = 100
+}}
+"#,
+        listen = address(host),
+        seed = address(0),
+    );
+    HostSettings::parse("test", &text).unwrap()
+}
+
+fn address(host: u32) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host as u8 + 1], 7000))
+}
+
+struct Fleet {
+    now: Instant,
+    cores: Vec<Option<Core>>,
+    /// Hosts that no datagram reaches, nor leaves.
+    away: Vec<u32>,
+    replies: Vec<(u32, u64, Reply)>,
+    answers: Vec<(u32, Verdict)>,
+    legs: Vec<(u32, SendLeg)>,
+    floor: &'static str,
+}
+
+impl Fleet {
+    fn new(hosts: &[u32], floor: &'static str) -> Fleet {
+        let mut f = Fleet {
+            now: Instant::from_secs(10.0),
+            cores: (0..HOSTS).map(|_| None).collect(),
+            away: Vec::new(),
+            replies: Vec::new(),
+            answers: Vec::new(),
+            legs: Vec::new(),
+            floor,
+        };
+        hosts.iter().for_each(|h| f.start(*h));
+        f
+    }
+
+    fn start(&mut self, host: u32) {
+        let s = settings(host, self.floor);
+        let life = 100 + u64::from(host);
+        let mut core = Core::new(self.now, &s, life, life);
+        let mut plans = Plans::new(self.now, &s, s.plans_live.as_ref().unwrap(), &[]).unwrap();
+        plans.agree();
+        let of = Origin { disk: life, boot: 1, life };
+        let start = AgreedStart { of, ..AgreedStart::default() };
+        core.with_agreed(Agreed::new(self.now, &s, s.agreement.as_ref().unwrap(), start, life));
+        core.with_plans(self.now, plans, false);
+        let m = s.membership.as_ref().unwrap();
+        let members = member_settings(&s, m, address(host), life, false, life, vec![]);
+        core.with_fellows(self.now, Fellows::new(self.now, members));
+        let list = [ListEntry {
+            id: "a".into(),
+            address: "a".into(),
+            state: NodeState::Ready,
+            zone: ZoneId(0),
+            shard: ShardId(0),
+            start: None,
+        }];
+        core.list_came(self.now, ListKind::Complete, 0, 5, &list);
+        self.cores[host as usize] = Some(core);
+    }
+
+    fn pull(&mut self) {
+        for _ in 0..20 {
+            let mut letters = Vec::new();
+            for (h, core) in (0..).zip(&mut self.cores) {
+                let Some(core) = core else { continue };
+                core.tick(self.now);
+                while let Some(o) = core.next_output(self.now) {
+                    match o {
+                        Output::Keep { request, .. } => core.kept(self.now, request, Ok(())),
+                        Output::Datagram { to, bytes } => letters.push((h, to, bytes)),
+                        Output::Reply { request, reply } => self.replies.push((h, request, reply)),
+                        Output::Answer { verdict, .. } => self.answers.push((h, verdict)),
+                        Output::Send(leg) => self.legs.push((h, *leg)),
+                        _ => {}
+                    }
+                }
+            }
+            if letters.is_empty() {
+                return;
+            }
+            for (from, to, bytes) in letters {
+                let Some(h) = (0..HOSTS).find(|h| address(*h) == to) else { continue };
+                if self.away.contains(&h) || self.away.contains(&from) {
+                    continue;
+                }
+                if let Some(core) = &mut self.cores[h as usize] {
+                    core.datagram(self.now, address(from), bytes);
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        let end = self.now + Span::from_secs(seconds);
+        while self.now < end {
+            self.now = self.now + Span::from_secs(0.01);
+            self.pull();
+        }
+    }
+
+    fn core(&mut self, host: u32) -> &mut Core {
+        self.cores[host as usize].as_mut().unwrap()
+    }
+
+    /// One read of a volume at a host; whether a leg left, or its answer.
+    fn read(&mut self, host: u32, lun: u32) -> Result<(), Verdict> {
+        self.legs.clear();
+        self.answers.clear();
+        let (now, from) = (self.now, CommandRef { session: 1, command: self.now.secs().to_bits() as u32 });
+        self.core(host).submit(now, from, lun, 0, Work::Read { blocks: 8 }, now, None, None);
+        self.pull();
+        let leg = self.legs.iter().find(|(h, _)| *h == host).map(|(_, l)| l.leg);
+        if let Some(leg) = leg {
+            let data = Bytes::from(vec![0; 4096]);
+            let back = LegBack { leg, outcome: Outcome::Done, waiting: None, elsewhere: None, data };
+            self.core(host).leg_back(now, back);
+            self.pull();
+            return Ok(());
+        }
+        let answer = self.answers.iter().find(|(h, _)| *h == host).map(|(_, v)| v.clone());
+        Err(answer.unwrap_or(Verdict::Abandoned))
+    }
+
+    fn ask(&mut self, host: u32, ask: Ask) -> Reply {
+        let now = self.now;
+        self.replies.clear();
+        self.core(host).ask(now, 77, ask);
+        for _ in 0..600 {
+            self.run(0.01);
+            if let Some((_, _, r)) = self.replies.iter().find(|(h, request, _)| (*h, *request) == (host, 77))
+            {
+                return r.clone();
+            }
+        }
+        panic!("host {host}: no reply");
+    }
+
+    /// Asks a host for other figures of the plan; the change's version, or why not.
+    fn plan(&mut self, host: u32, limit: f64, floor: Option<f64>) -> Result<u64, String> {
+        let Reply::Plan(PlanReply::Shown(s)) = self.ask(host, Ask::Plan(PlanAsk::Show)) else { panic!() };
+        let to = Plan { limit, burst: 200.0, slack: 8.0, reserve: 0.0, weight: 1.0, floor };
+        let steps = vec![Step::Plan { name: "basic".into(), to: Some(to) }];
+        let change = Change { base: s.catalogue.version, steps, who: "ann".into(), why: "test".into() };
+        match self.ask(host, Ask::Plan(PlanAsk::Apply { change, dry_run: false })) {
+            Reply::Plan(PlanReply::Applied { version, .. }) => Ok(version),
+            Reply::Plan(PlanReply::Refused { why }) => Err(why),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn status(&mut self, host: u32) -> AgreementStatus {
+        match self.ask(host, Ask::Agreement(AgreementAsk::Status)) {
+            Reply::Agreement(AgreementReply::Status(s)) => *s,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_host_without_a_lease_keeps_to_the_floor_and_goes_on_where_no_limit_may_come() {
+    // The floor, and whether a host past its lease still sends of the limited volume.
+    for (floor, sends) in [("", false), ("floor = 40", true)] {
+        let mut f = Fleet::new(&[0, 1, 3], floor);
+        f.run(2.0);
+        // Nothing is agreed on before all who begin are there: no lease, in no life.
+        assert_eq!(f.status(3).lease, "never");
+        assert_eq!(f.read(3, 1).is_ok(), sends, "{floor:?}: never a lease");
+        assert_eq!(f.read(3, 2), Ok(()), "no limit may come to a plan without one");
+        f.start(2);
+        f.run(3.0);
+        assert_eq!((f.status(3).lease, f.read(3, 1)), ("holds".into(), Ok(())), "{floor:?}");
+        f.away = vec![3];
+        f.run(0.3);
+        assert_eq!(f.read(3, 1), Ok(()), "within its lease");
+        f.run(1.5);
+        let status = f.status(3);
+        assert_eq!((status.lease.as_str(), status.posture), ("past", true), "{floor:?}");
+        match f.read(3, 1) {
+            Ok(()) => assert!(sends),
+            // At once, with when to come back.
+            Err(v) => assert!(!sends && matches!(v, Verdict::Deferred { come_back: Some(_) }), "{v:?}"),
+        }
+        assert_eq!(f.read(3, 2), Ok(()));
+        f.away.clear();
+        f.run(2.0);
+        assert_eq!((f.status(3).posture, f.read(3, 1)), (false, Ok(())), "{floor:?}: it has a lease again");
+    }
+}
+
+#[test]
+fn any_host_takes_changes_and_a_floor_moves_only_once_all_have_word_of_it() {
+    let mut f = Fleet::new(&[0, 1, 2, 3], "floor = 100");
+    f.run(3.0);
+    // At a host that does not vote, down to the floor.
+    assert_eq!(f.plan(3, 120.0, Some(100.0)), Ok(1));
+    let why = f.plan(1, 50.0, Some(50.0)).unwrap_err();
+    assert!(why.contains("floor that hosts past their lease go by"), "{why}");
+    // The floor first; while one host has not got it the limit stays above.
+    f.away = vec![3];
+    assert_eq!(f.plan(1, 120.0, Some(20.0)), Ok(2));
+    f.run(3.0);
+    assert!(f.plan(0, 50.0, Some(20.0)).is_err(), "host 3 may still go by 100");
+    f.away.clear();
+    f.run(3.0);
+    assert_eq!((f.status(0).told, f.status(3).version), (2, 2));
+    assert_eq!(f.plan(2, 50.0, Some(20.0)), Ok(3));
+    // Two operators at one version: one of them is told what moved.
+    let Reply::Plan(PlanReply::Shown(s)) = f.ask(0, Ask::Plan(PlanAsk::Show)) else { panic!() };
+    assert_eq!((s.catalogue.version, s.stale), (3, false));
+    let change = |who: &str, limit: f64| {
+        let to = Plan { limit, burst: 200.0, slack: 8.0, reserve: 0.0, weight: 1.0, floor: Some(20.0) };
+        let steps = vec![Step::Plan { name: "basic".into(), to: Some(to) }];
+        Ask::Plan(PlanAsk::Apply {
+            change: Change { base: 3, steps, who: who.into(), why: "test".into() },
+            dry_run: false,
+        })
+    };
+    f.replies.clear();
+    let now = f.now;
+    f.core(1).ask(now, 5, change("ann", 60.0));
+    f.core(3).ask(now, 6, change("bob", 70.0));
+    f.run(1.0);
+    let plans: Vec<_> = f.replies.iter().filter(|(_, r, _)| *r == 5 || *r == 6).map(|(_, _, r)| r).collect();
+    let applied = plans.iter().filter(|r| matches!(r, Reply::Plan(PlanReply::Applied { .. }))).count();
+    let conflicts = plans
+        .iter()
+        .filter(|r| matches!(r, Reply::Plan(PlanReply::Refused { why }) if why.contains("plan basic")));
+    assert_eq!((applied, conflicts.count()), (1, 1), "{plans:?}");
+    // All hosts hold the same.
+    let digests: Vec<String> = (0..HOSTS)
+        .map(|h| match f.ask(h, Ask::Plan(PlanAsk::Show)) {
+            Reply::Plan(PlanReply::Shown(s)) => s.digest,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert!(digests.iter().all(|d| *d == digests[0]), "{digests:?}");
+}
+
+#[test]
+fn without_most_voters_nothing_is_agreed_on_and_reads_say_that_they_may_be_old() {
+    let mut f = Fleet::new(&[0, 1, 2, 3], "");
+    f.run(3.0);
+    f.away = vec![0, 1];
+    f.run(2.0);
+    let Reply::Plan(PlanReply::Shown(s)) = f.ask(2, Ask::Plan(PlanAsk::Show)) else { panic!() };
+    assert!(s.stale);
+    assert!(f.plan(3, 50.0, None).unwrap_err().contains("may hold all the same"));
+    f.away.clear();
+    f.run(3.0);
+    // It was given up before it left: it does not hold.
+    assert_eq!(f.status(3).version, 0);
+    assert_eq!(f.plan(3, 60.0, None), Ok(1));
+}
