Histories of operators are judged: one order must explain all that they saw

Need: changes and reads at any host have to look as if one host took them one after the other, also under faults, judged by what knows nothing of the log.

--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -55,6 +55,7 @@
     hosts_cut_off_while_a_limit_falls = "agree/cut-off",
     hosts_that_stand_still_past_their_lease = "agree/stopped",
     voters_killed_one_by_one_and_all_at_once = "agree/voters-killed",
+    operators_whose_changes_have_one_order = "agree/operators",
 }
 
 #[test]
--- a/crates/day/src/agreed.rs
+++ b/crates/day/src/agreed.rs
@@ -26,6 +26,8 @@
     /// Time for which no host said that it leads, after the first that did.
     pub leaderless_s: f64,
     pub asked: usize,
+    /// Calls of operators whose order was judged.
+    pub history: usize,
     /// Promises that were broken, in words.
     pub broken: Vec<String>,
 }
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod hunt;
 mod import;
+mod operators;
 mod play;
 mod registers;
 mod report;
--- /dev/null
+++ b/crates/day/src/operators.rs
@@ -0,0 +1,124 @@
+//! Operators who read and change plans at hosts by chance, each call with its times and what came of it, for the check whether
+//! all of it can have happened one after the other.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tackmast_admin::{Answer, Call};
+use tackmast_hostcore::{Ask, PlanAsk, PlanReply, Reply};
+use tackmast_plans::{Change, Step};
+use tackmast_rulecheck::history::{Came, Op};
+
+const PATIENCE: Duration = Duration::from_secs(8);
+
+pub struct Operators {
+    ops: Arc<Mutex<Vec<Op>>>,
+    over: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+struct Operator {
+    name: String,
+    sockets: Vec<PathBuf>,
+    chance: oorandom::Rand64,
+    plan: String,
+    base: u64,
+    began: Instant,
+}
+
+fn ask(socket: &Path, ask: PlanAsk) -> Option<PlanReply> {
+    match tackmast_admin::call(socket, &Call::Ask(Ask::Plan(ask)), PATIENCE) {
+        Ok(Answer::Reply(r)) => match *r {
+            Reply::Plan(p) => Some(p),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+impl Operator {
+    /// One call, if it came to something.
+    fn call(&mut self) -> Option<Op> {
+        let host = self.chance.rand_range(0..self.sockets.len() as u64) as usize;
+        let socket = self.sockets.get(host)?.clone();
+        let changes = self.chance.rand_range(0..2) == 0;
+        let began = self.began.elapsed().as_secs_f64();
+        let came = if changes { self.change(&socket)? } else { self.read(&socket)? };
+        let ended = self.began.elapsed().as_secs_f64();
+        Some(Op { began, ended, by: format!("{} at host {host}", self.name), came })
+    }
+
+    fn read(&mut self, socket: &Path) -> Option<Came> {
+        match ask(socket, PlanAsk::Show)? {
+            // One that says it may be old promises nothing.
+            PlanReply::Shown(s) if !s.stale => {
+                self.base = s.catalogue.version;
+                Some(Came::Read { version: s.catalogue.version, digest: s.digest })
+            }
+            _ => None,
+        }
+    }
+
+    fn change(&mut self, socket: &Path) -> Option<Came> {
+        // Its weight alone: no rule hangs on it, so that nothing else is disturbed.
+        let shown = match ask(socket, PlanAsk::Show)? {
+            PlanReply::Shown(s) => s,
+            _ => return None,
+        };
+        let mut to = shown.catalogue.plans.get(&self.plan)?.clone();
+        to.weight = 1.0 + (self.chance.rand_float() * 1e6).round() / 1e6;
+        // Now and then on what it saw before, which may be old.
+        let base = if self.chance.rand_range(0..4) == 0 { self.base } else { shown.catalogue.version };
+        self.base = shown.catalogue.version;
+        let steps = vec![Step::Plan { name: self.plan.clone(), to: Some(to) }];
+        let change = Change { base, steps, who: self.name.clone(), why: "an operator of the day".into() };
+        Some(match ask(socket, PlanAsk::Apply { change, dry_run: false }) {
+            Some(PlanReply::Applied { version, .. }) => Came::Applied { base, version },
+            Some(PlanReply::Refused { why }) if why.contains("moved since then") => Came::Conflict { base },
+            // Refused before it was put to anybody: nothing of it is to be seen. A base that is not there yet, or waiting asks.
+            Some(PlanReply::Refused { why }) if why.starts_with("base") || why.contains("wait already") => {
+                return None
+            }
+            _ => Came::Unknown { base },
+        })
+    }
+}
+
+impl Operators {
+    /// So many operators, each with a pause between calls of so many seconds in the mean.
+    pub fn start(sockets: Vec<PathBuf>, plan: &str, count: u32, pause_s: f64, seed: u64) -> Operators {
+        let ops: Arc<Mutex<Vec<Op>>> = Arc::default();
+        let over: Arc<AtomicBool> = Arc::default();
+        let began = Instant::now();
+        let threads = (0..count).map(|i| {
+            let mut o = Operator {
+                name: format!("operator {i}"),
+                sockets: sockets.clone(),
+                chance: oorandom::Rand64::new(u128::from(seed) << 8 | u128::from(i)),
+                plan: plan.to_owned(),
+                base: 0,
+                began,
+            };
+            let (ops, over) = (ops.clone(), over.clone());
+            std::thread::spawn(move || {
+                while !over.load(Ordering::Acquire) {
+                    if let Some(op) = o.call() {
+                        ops.lock().unwrap_or_else(PoisonError::into_inner).push(op);
+                    }
+                    let pause = pause_s * 2.0 * o.chance.rand_float();
+                    std::thread::sleep(Duration::from_secs_f64(pause));
+                }
+            })
+        });
+        let threads = threads.collect();
+        Operators { ops, over, threads }
+    }
+
+    /// All that was done.
+    pub fn end(self) -> Vec<Op> {
+        self.over.store(true, Ordering::Release);
+        self.threads.into_iter().for_each(|t| _ = t.join());
+        std::mem::take(&mut *self.ops.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -2,6 +2,7 @@
 
 use crate::agreed::AgreedWatcher;
 use crate::fleet::{entry, HostProcess, Launch, Nodes, Seat};
+use crate::operators::Operators;
 use crate::report::{Report, Served};
 use crate::rig::{How, Rig, Who, TWIN};
 use crate::script::{admin_socket, Action, Misuse, Script};
@@ -121,6 +122,7 @@
     rig: Rig,
     watcher: Option<Watcher>,
     agreed: Option<AgreedWatcher>,
+    operators: Option<Operators>,
     hosts: Vec<Option<HostProcess>>,
     twins: BTreeMap<u32, HostProcess>,
     /// Hosts that are asked to end, and have not ended yet.
@@ -198,6 +200,10 @@
     let sockets = (0..day.hosts).map(|h| admin_socket(dir, h)).collect();
     let agreed =
         script.settings.agreement.as_ref().filter(|_| day.members).map(|_| AgreedWatcher::start(sockets));
+    let sockets: Vec<_> = (0..day.hosts).map(|h| admin_socket(dir, h)).collect();
+    let plan = script.settings.plans.first().map(|p| p.name.clone()).unwrap_or_default();
+    let (count, pause_s) = (day.operators, day.operators_pause_s.max(0.001));
+    let operators = (count > 0).then(|| Operators::start(sockets, &plan, count, pause_s, seed));
     let settings = Arc::new(script.settings.clone());
     let mut flows = Vec::new();
     let mut places: BTreeMap<&str, u64> = BTreeMap::new();
@@ -219,6 +225,7 @@
         rig,
         watcher,
         agreed,
+        operators,
         hosts,
         twins: BTreeMap::new(),
         ending: BTreeSet::new(),
@@ -558,7 +565,12 @@
             let cpu = hosts.iter().map(|(cpu, _, _)| cpu).sum();
             w.end(self.script.day.hosts, self.began.elapsed().as_secs_f64(), cpu)
         });
+        let ops = self.operators.take().map(Operators::end);
         let agreed = self.agreed.take().map(AgreedWatcher::end);
+        let agreed = agreed.map(|a| crate::AgreedSeen { history: ops.as_ref().map_or(0, Vec::len), ..a });
+        if let Some(Err(why)) = ops.map(|ops| tackmast_rulecheck::history::judge(&ops)) {
+            self.failures.push(format!("what operators saw can't have happened in any order: {why}"));
+        }
         self.rig.ways.stop();
         let ends: Vec<HostProcess> = self.hosts.iter_mut().filter_map(Option::take).collect();
         std::thread::scope(|s| ends.into_iter().for_each(|h| _ = s.spawn(|| h.end())));
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -125,8 +125,8 @@
         if let Some(a) = &self.agreed {
             writeln!(
                 f,
-                "agreement: {} changes, an older version gone by for {:.3} s at most of {:.3} allowed; no leader for {:.2} s; {} answers",
-                a.changes, a.longest_s, a.allowed_s, a.leaderless_s, a.asked
+                "agreement: {} changes, an older version gone by for {:.3} s at most of {:.3} allowed; no leader for {:.2} s; {} answers; {} calls of operators in an order",
+                a.changes, a.longest_s, a.allowed_s, a.leaderless_s, a.asked, a.history
             )?;
         }
         for failure in self.failures.iter().take(10) {
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -48,6 +48,16 @@
     /// False deaths in the view that are taken.
     #[serde(default)]
     pub false_deaths: usize,
+    /// Operators that read plans and change the first plan's weight at hosts by chance, and their pause in the mean. What
+    /// they see is held against all orders in which it can have happened.
+    #[serde(default)]
+    pub operators: u32,
+    #[serde(default = "pause")]
+    pub operators_pause_s: f64,
+}
+
+fn pause() -> f64 {
+    0.1
 }
 
 fn period() -> f64 {
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -1,6 +1,7 @@
 //! The seven rules held against recorded traffic: what clients, nodes and the node list saw on their sockets. It
 //! shares no code with the host or the decision module, and takes nothing on their word that the sockets show.
 
+pub mod history;
 mod index;
 mod rules;
 
