Hosts tell each other their node list's version, and what a newer one takes away

Need: two hosts held different node lists for as long as one's watch was silent, and a service that came back with an old copy made drained nodes ready again. Kinds 20 to 22 of the peers' protocol; off where there is no membership, so in `run`.

--- a/crates/hostcore/src/core.rs
+++ b/crates/hostcore/src/core.rs
@@ -6,6 +6,7 @@
 mod legs;
 mod listed;
 mod orders;
+mod stops;
 
 use crate::admission::{Admission, Held};
 use crate::agreed::Agreed;
@@ -280,6 +281,7 @@
     grace: Span,
     cuts: BTreeSet<(Instant, NodeId)>, // when what is still being written to a node that drains is cut off
     list_version: u64,
+    stops: stops::Stops,
     orders: Option<Orders>,
     fellows: Option<Fellows>,
     plans: Option<Plans>,
@@ -356,6 +358,7 @@
             grace: Span::from_secs(s.grace.secs() * GRACE_PART),
             cuts: BTreeSet::new(),
             list_version: 0,
+            stops: stops::Stops::default(),
             orders: None,
             fellows: None,
             plans: None,
--- a/crates/hostcore/src/core/fellows.rs
+++ b/crates/hostcore/src/core/fellows.rs
@@ -174,6 +174,7 @@
                     let keep = Keep { members: Some(r), ..Keep::default() };
                     self.outputs.push_back(Output::Keep { request: 0, keep });
                 }
+                Followed::List(c) => self.list_of_others(now, c),
                 Followed::Word { from, slot, body } => self.agreed_word(now, from, slot, body),
                 Followed::Paper(p) => {
                     let Some(plans) = &mut self.plans else { continue };
--- a/crates/hostcore/src/core/listed.rs
+++ b/crates/hostcore/src/core/listed.rs
@@ -38,6 +38,9 @@
         self.scheduler.nodes_changed(now, kind, &known);
         self.order_nodes(now);
         self.stop_nodes(now);
+        if self.fellows.is_some() {
+            self.own_list(now);
+        }
     }
 
     /// Makes a line of the list what the operators' orders make of it.
@@ -47,20 +50,24 @@
         if let Some(Effective { state, .. }) = effective {
             e.state = state;
         }
+        // A newer list that another host holds only takes away.
+        let stopped = |a: &str| self.stops.takes(a, self.list_version);
+        if e.state == NodeState::Ready && self.nodes.address(e.node).is_some_and(stopped) {
+            e.state = NodeState::Draining;
+        }
     }
 
     /// Tells the module of nodes that are to be given something else than before.
     pub(super) fn order_nodes(&mut self, now: Instant) {
         let Some(orders) = &mut self.orders else { return };
         let mut stops = false;
-        for (address, given) in orders.overrides.take_changed(now) {
+        let changed: Vec<_> = orders.overrides.take_changed(now).into_iter().collect();
+        for (address, given) in changed {
             let Some(node) = self.nodes.number(&address.to_string()) else { continue };
             let Some(entry) = self.nodes.entry(node) else { continue };
-            self.scheduler.nodes_changed(
-                now,
-                ListKind::Changes,
-                &[NodeEntry { state: given.state, ..entry }],
-            );
+            let mut e = entry;
+            self.given(now, &mut e);
+            self.scheduler.nodes_changed(now, ListKind::Changes, &[e]);
             self.scheduler.node_ordered(now, node, given.weight, given.pinned);
             stops |= given.state != NodeState::Ready;
         }
--- a/crates/hostcore/src/fellows.rs
+++ b/crates/hostcore/src/fellows.rs
@@ -10,8 +10,8 @@
 use tackmast::interface::{Instant, Span};
 use tackmast_config::{HostSettings, MembershipBlock};
 use tackmast_membership::{
-    Do, LoanSettings, Member, MemberSettings, Moved, OrderKind, Output, Paper, Remembered, Shared, SiteWord,
-    SpreadOrder, ViewSettings, Ways,
+    Do, ListCame, LoanSettings, Member, MemberSettings, Moved, OrderKind, Output, Paper, Remembered, Shared,
+    SiteWord, SpreadOrder, ViewSettings, Ways,
 };
 use tackmast_overrides::{Kind, Order, Origin, Override, OverrideId};
 use tackmast_wire::peer::Body;
@@ -49,6 +49,7 @@
     Paper(Paper),
     /// To be written down for the next life.
     Remember(Remembered),
+    List(ListCame),
     Word {
         from: SocketAddr,
         slot: u32,
@@ -255,6 +256,7 @@
                 Output::Mode(line) => Followed::Mode(line),
                 Output::Paper(p) => Followed::Paper(p),
                 Output::Remember(r) => Followed::Remember(r),
+                Output::List(c) => Followed::List(c),
                 Output::Word { from, slot, body } => Followed::Word { from, slot, body },
                 Output::Do(d) => match self.asked(d) {
                     Some(ask) => {
--- a/crates/hostcore/tests/agreed.rs
+++ b/crates/hostcore/tests/agreed.rs
@@ -102,6 +102,8 @@
     replies: Vec<(u32, u64, Reply)>,
     answers: Vec<(u32, Verdict)>,
     legs: Vec<(u32, SendLeg)>,
+    /// Hosts that asked their list service for all of it.
+    fetches: Vec<u32>,
     floor: &'static str,
 }
 
@@ -114,6 +116,7 @@
             replies: Vec::new(),
             answers: Vec::new(),
             legs: Vec::new(),
+            fetches: Vec::new(),
             floor,
         };
         hosts.iter().for_each(|h| f.start(*h));
@@ -133,16 +136,23 @@
         let m = s.membership.as_ref().unwrap();
         let members = member_settings(&s, m, address(host), life, false, life, vec![]);
         core.with_fellows(self.now, Fellows::new(self.now, members));
+        self.cores[host as usize] = Some(core);
+        self.listed(host, ListKind::Complete, 5, NodeState::Ready);
+    }
+
+    /// What the list service tells a host of the one node.
+    fn listed(&mut self, host: u32, kind: ListKind, version: u64, state: NodeState) {
         let list = [ListEntry {
             id: "a".into(),
             address: "a".into(),
-            state: NodeState::Ready,
+            state,
             zone: ZoneId(0),
             shard: ShardId(0),
             start: None,
         }];
-        core.list_came(self.now, ListKind::Complete, 0, 5, &list);
-        self.cores[host as usize] = Some(core);
+        let now = self.now;
+        let from = if kind == ListKind::Complete { 0 } else { version - 1 };
+        self.core(host).list_came(now, kind, from, version, &list);
     }
 
     fn pull(&mut self) {
@@ -158,6 +168,7 @@
                         Output::Reply { request, reply } => self.replies.push((h, request, reply)),
                         Output::Answer { verdict, .. } => self.answers.push((h, verdict)),
                         Output::Send(leg) => self.legs.push((h, *leg)),
+                        Output::FetchList => self.fetches.push(h),
                         _ => {}
                     }
                 }
@@ -338,3 +349,31 @@
     assert_eq!(f.status(3).version, 0);
     assert_eq!(f.plan(3, 60.0, None), Ok(1));
 }
+
+#[test]
+fn what_one_host_is_told_as_draining_no_connected_host_chooses() {
+    let mut f = Fleet::new(&[0, 1, 2, 3], "");
+    f.run(3.0);
+    assert_eq!(f.read(3, 2), Ok(()));
+    f.fetches.clear();
+    // Host 0 alone hears that the node drains; the others' watches are silent.
+    f.listed(0, ListKind::Changes, 6, NodeState::Draining);
+    f.run(1.0);
+    for h in [1, 2, 3] {
+        assert!(f.read(h, 2).is_err(), "host {h} chooses a node that host 0 was told is draining");
+        assert!(f.fetches.contains(&h), "host {h} asks its service again");
+    }
+    // A service that goes back, to a host that held the newer list and to one that did not.
+    for h in [0, 1] {
+        f.listed(h, ListKind::Complete, 4, NodeState::Ready);
+        f.run(0.5);
+        assert!(f.read(h, 2).is_err(), "host {h}: an old list takes nothing back");
+    }
+    // One that is past it is its own word again, for all.
+    (0..HOSTS).for_each(|h| f.listed(h, ListKind::Complete, 7, NodeState::Ready));
+    // What was asked meanwhile has had its answers.
+    f.run(1.5);
+    for h in 0..HOSTS {
+        assert_eq!(f.read(h, 2), Ok(()), "host {h}");
+    }
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -137,7 +137,7 @@
             let Some(o) = m.next_output() else { break };
             match o {
                 Output::Send { to, bytes } => self.post(h, to, &bytes),
-                Output::Mode(_) | Output::Remember(_) | Output::Word { .. } => {}
+                Output::Mode(_) | Output::Remember(_) | Output::Word { .. } | Output::List(_) => {}
                 Output::Paper(p) => {
                     let ends = m.papers.ends(p.number, at(self.now));
                     m.paper_taken(at(self.now), p.number, p.number, p.text, ends);
--- a/crates/lab/src/views/world.rs
+++ b/crates/lab/src/views/world.rs
@@ -268,7 +268,11 @@
                     self.post(p, to, &bytes);
                 }
                 Output::Remember(r) => self.all[p].disk = r,
-                Output::Mode(_) | Output::Do(_) | Output::Paper(_) | Output::Word { .. } => {}
+                Output::Mode(_)
+                | Output::Do(_)
+                | Output::Paper(_)
+                | Output::Word { .. }
+                | Output::List(_) => {}
             }
         }
         let x = &mut self.all[p];
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,16 +1,19 @@
 //! Hosts that know of each other. Nothing here does I/O or reads a clock, and no rule hangs on it: a host that hears
 //! nothing keeps to what it was told. `view` tells who is there, `loans` moves parts of limits between hosts for a term,
-//! `spread` carries operators' orders to all, `papers` changes of plans, and `member` is these together, fed with datagrams and the time.
+//! `spread` carries operators' orders to all, `papers` changes of plans, `lists` what newer node
+//! lists take away, and `member` is these together, fed with datagrams and the time.
 
+mod lists;
 mod loans;
 mod member;
 mod papers;
 mod spread;
 mod view;
 
+pub use lists::{ListCame, Lists};
 pub use loans::{LoanSettings, Loans, Moved, Say, Shared, TermFault};
 pub use member::{Counters, Member, MemberSettings, Output, Remembered};
 pub use papers::{Paper, Papers, MOST_BYTES, MOST_PAPERS};
 pub use spread::{Do, Spread};
-pub use tackmast_wire::peer::{Datagram, Health, News, OrderKind, SpreadOrder};
+pub use tackmast_wire::peer::{Datagram, Health, ListStop, News, OrderKind, SpreadOrder};
 pub use view::{Change, Death, Seen, SiteSeen, SiteWord, View, ViewFault, ViewSettings, Ways};
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -1,5 +1,6 @@
 //! One host among others: datagrams and the time in, datagrams and what follows from them out.
 
+use crate::lists::{ListCame, Lists};
 use crate::loans::{LoanSettings, Loans, Moved, Say, Shared};
 use crate::papers::{Paper, Papers, TOLD};
 use crate::spread::{Do, Spread};
@@ -11,7 +12,7 @@
 use std::net::SocketAddr;
 use tackmast::interface::{Instant, Span};
 use tackmast_overrides::Origin as Name;
-use tackmast_wire::peer::{Body, Datagram, Health, News, SpreadOrder, MOST_ORDERS};
+use tackmast_wire::peer::{Body, Datagram, Health, ListStop, News, SpreadOrder, MOST_ORDERS};
 
 /// Messages that wait to be sent, at most; beyond that a new one is lost and counted.
 const WAITING: usize = 4096;
@@ -62,6 +63,8 @@
     Paper(Paper),
     /// To be written down for the next life, in place of what was before.
     Remember(Remembered),
+    /// Of the node list that other hosts hold.
+    List(ListCame),
     /// A word on the agreed log, or a piece of one, from the address at which that host is known.
     Word {
         from: SocketAddr,
@@ -91,6 +94,7 @@
     pub loans: Loans,
     pub spread: Spread,
     pub papers: Papers,
+    lists: Lists,
     shared: (LoanSettings, Vec<Shared>),
     /// Another life of this host's number may use what hosts share; this one does not, whatever else it does.
     yields: bool,
@@ -132,6 +136,7 @@
             loans: Loans::new(now, (s.slot, s.life), s.loans, s.shared.clone(), s.left),
             spread: Spread::default(),
             papers: Papers::default(),
+            lists: Lists::default(),
             shared: (s.loans, s.shared),
             yields: false,
             remembered: Remembered { life: s.life, hosts: s.recalled },
@@ -255,6 +260,10 @@
                 }
                 return self.settle(now);
             }
+            body @ (Body::ListWord { .. } | Body::ListWant { .. } | Body::ListStops { .. }) => {
+                self.lists.heard(now, from, body);
+                return self.settle(now);
+            }
             other => {
                 self.view.heard(now, from, slot, &other);
                 return self.settle(now);
@@ -336,9 +345,12 @@
         while let Some(d) = self.spread.next_do() {
             self.outputs.push_back(Output::Do(d));
         }
-        while let Some((to, body)) = self.papers.next_say() {
+        while let Some((to, body)) = self.papers.next_say().or_else(|| self.lists.next_say()) {
             self.push(to, body, Vec::new());
         }
+        while let Some(c) = self.lists.next_came() {
+            self.outputs.push_back(Output::List(c));
+        }
         while let Some(p) = self.papers.next_came() {
             self.outputs.push_back(Output::Paper(p));
         }
@@ -421,12 +433,15 @@
             sends.push((to, body, slot));
         }
         for (to, body, slot) in sends {
-            let beat = matches!(body, Body::Digest { .. }) && self.papers.is_on();
+            let beat = matches!(body, Body::Digest { .. });
             let news = self.view.beside(slot);
             self.push(to, body, news);
-            if beat {
+            if beat && self.papers.is_on() {
                 self.push(to, self.papers.word(now), Vec::new());
             }
+            if beat && self.lists.is_on() {
+                self.push(to, self.lists.word(), Vec::new());
+            }
         }
         if self.loans.is_due(now) {
             self.loans.tick(now, &self.view.steady(now));
@@ -484,6 +499,19 @@
         self.settle(now);
     }
 
+    /// This host's node list is at that version, and takes these away; news go to three others at once.
+    pub fn listed(&mut self, now: Instant, version: u64, stops: impl IntoIterator<Item = ListStop>) {
+        if self.lists.listed(version, stops) {
+            let word = self.lists.word();
+            for slot in self.view.pick(now, TOLD, None) {
+                if let Some(to) = self.view.address(slot) {
+                    self.push(to, word.clone(), Vec::new());
+                }
+            }
+        }
+        self.settle(now);
+    }
+
     /// A word on the agreed log, or a piece of one, goes there.
     pub fn post(&mut self, to: SocketAddr, body: Body) {
         self.push(to, body, Vec::new());
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -12,6 +12,8 @@
 /// Lines of news in one datagram, and orders, at most: so many fit also where all addresses are of IPv6.
 pub const MOST_NEWS: usize = 28;
 pub const MOST_ORDERS: usize = 2;
+/// Nodes in one datagram that a list takes away, at most.
+pub const MOST_STOPS: usize = 18;
 /// Bytes of a fleet's name, of an order's target, and of its reason and name, at most.
 pub const MOST_NAME: usize = 32;
 pub const MOST_TARGET: usize = 64;
@@ -163,6 +165,25 @@
         number: u32,
         piece: u16,
     },
+    /// The newest version of the node list that the sender held.
+    ListWord {
+        version: u64,
+    },
+    /// Asks what a newer list than that takes away.
+    ListWant {
+        version: u64,
+    },
+    ListStops {
+        version: u64,
+        stops: Vec<ListStop>,
+    },
+}
+
+/// A node that a list says is draining or gone, by the address that the list has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListStop {
+    pub address: String,
+    pub gone: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -359,6 +380,23 @@
                 out.put_u32(*number);
                 out.put_u16(*piece);
             }
+            Body::ListWord { version } => {
+                out.put_u8(20);
+                out.put_u64(*version);
+            }
+            Body::ListWant { version } => {
+                out.put_u8(21);
+                out.put_u64(*version);
+            }
+            Body::ListStops { version, stops } => {
+                out.put_u8(22);
+                out.put_u64(*version);
+                out.put_u8(stops.len().min(MOST_STOPS) as u8);
+                for s in stops.iter().take(MOST_STOPS) {
+                    put_text(&mut out, &s.address, MOST_TARGET);
+                    out.put_u8(u8::from(s.gone));
+                }
+            }
         }
         out.put_u8(self.news.len().min(MOST_NEWS) as u8);
         self.news.iter().take(MOST_NEWS).for_each(|n| put_news(&mut out, n));
@@ -437,7 +475,17 @@
                 Body::Parcel { number, pieces, piece, bytes: one_piece(&mut f)? }
             }
             19 => Body::ParcelWant { number: f.u32("number")?, piece: f.u16("piece")? },
-            other => return Err(wrong("kind", other, "a kind from 1 to 19")),
+            20 => Body::ListWord { version: f.u64("version")? },
+            21 => Body::ListWant { version: f.u64("version")? },
+            22 => {
+                let (version, n) = (f.u64("version")?, f.u8("nodes")?);
+                if usize::from(n) > MOST_STOPS {
+                    return Err(wrong("nodes", n, "at most 18"));
+                }
+                let stops = (0..n).map(|_| list_stop(&mut f)).collect::<Result<_, _>>()?;
+                Body::ListStops { version, stops }
+            }
+            other => return Err(wrong("kind", other, "a kind from 1 to 22")),
         };
         let n = f.u8("news")?;
         if usize::from(n) > MOST_NEWS {
@@ -479,6 +527,19 @@
     Ok(News { slot, life, incarnation, health, address, site, by })
 }
 
+fn list_stop(f: &mut Fields) -> Result<ListStop, WireError> {
+    let address = f.text("node")?;
+    if address.len() > MOST_TARGET {
+        let (found, most) = (address.len() as u64, MOST_TARGET as u64);
+        return Err(WireError::TooLong { field: "node", found, most });
+    }
+    match f.u8("gone")? {
+        0 => Ok(ListStop { address, gone: false }),
+        1 => Ok(ListStop { address, gone: true }),
+        other => Err(wrong("gone", other, "0 or 1")),
+    }
+}
+
 fn put_order(out: &mut BytesMut, o: &SpreadOrder) {
     out.put_u32(o.slot);
     out.put_u64(o.life);
@@ -575,10 +636,20 @@
             Body::Agree { bytes: Bytes::from(vec![7; MOST_PIECE]) },
             Body::Parcel { number: 30, pieces: 32, piece: 31, bytes: Bytes::from(vec![7; MOST_PIECE]) },
             Body::ParcelWant { number: 33, piece: 34 },
+            Body::ListWord { version: 35 },
+            Body::ListWant { version: 36 },
+            Body::ListStops {
+                version: 37,
+                stops: vec![ListStop { address: "x".repeat(MOST_TARGET), gone: true }; MOST_STOPS],
+            },
         ] {
             let many = if matches!(
                 body,
-                Body::Orders(_) | Body::PaperPiece { .. } | Body::Agree { .. } | Body::Parcel { .. }
+                Body::Orders(_)
+                    | Body::PaperPiece { .. }
+                    | Body::Agree { .. }
+                    | Body::Parcel { .. }
+                    | Body::ListStops { .. }
             ) {
                 0
             } else {
