--- a/crates/agreement/tests/seat.rs
+++ b/crates/agreement/tests/seat.rs
@@ -322,3 +322,32 @@
     f.run(5.0);
     assert_eq!(f.holds[&4].len(), before);
 }
+
+#[test]
+fn an_answer_to_an_earlier_life_is_no_lease() {
+    // To which life the answer is, of which log, and whether the host has a lease by it; with the fault of mixing lives.
+    for (to_life, id, fault, expected) in [
+        (3, 9, None, true),
+        (2, 9, None, false),
+        (2, 9, Some(AgreeFault::LivesMixed), true),
+        (3, 8, None, false),
+    ] {
+        let last = Mark { term: 1, index: 4 };
+        let held =
+            Held { base: Base { id: 9, last, voters: voters(3), ..Base::default() }, ..Held::default() };
+        let (founders, of) = ((0..3).collect(), of(4, 3));
+        let s = SeatSettings { me: 4, of, agree: settings(), founders, held, seed: 1 };
+        let mut seat = Seat::new(at(0.0), s);
+        if let Some(f) = fault {
+            seat = seat.with_fault(f);
+        }
+        seat.tick(at(0.0));
+        let seq = std::iter::from_fn(|| seat.next_output()).find_map(|o| match o {
+            SeatOutput::Send { word: Word::Renew { seq, .. }, .. } => Some(seq),
+            _ => None,
+        });
+        let seq = seq.expect("it asks at once");
+        seat.heard(at(0.1), 0, Word::Granted { id, to_life, seq, term: 1, index: 4, term_ms: 1_000 });
+        assert_eq!(seat.standing(at(0.2)).holds(), expected, "life {to_life}, log {id}, {fault:?}");
+    }
+}
--- a/crates/cli/src/agreed.rs
+++ b/crates/cli/src/agreed.rs
@@ -1,7 +1,7 @@
 //! `tackmast lab agree`: walks over the agreement in virtual time.
 
 use std::process::ExitCode;
-use tackmast_lab::{explore, find_fault, walk, AgreeFault, Walk, Walked};
+use tackmast_lab::{agreed_fleet, explore, find_fault, walk, AgreeFault, FleetTrial, Walk, Walked};
 
 #[derive(clap::Args)]
 pub struct AgreeArguments {
@@ -19,6 +19,14 @@
     /// Looks for each deliberate fault, in up to so many walks.
     #[arg(long)]
     faults: bool,
+    /// Fleets of so many hosts in place of walks: what it costs, and how soon changes hold.
+    #[arg(long = "fleet", value_name = "HOSTS")]
+    fleets: Vec<u32>,
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// Part of datagrams that is lost.
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
     #[arg(long, default_value_t = 4)]
     threads: usize,
 }
@@ -34,6 +42,9 @@
         e.broken.into_iter().for_each(|b| println!("BROKEN: {b}"));
         return Ok(ExitCode::from(u8::from(!good)));
     }
+    if !a.fleets.is_empty() {
+        return fleets(a);
+    }
     let seeds: Vec<u64> = (a.first..a.first + a.walks).collect();
     if a.faults {
         let found =
@@ -71,3 +82,54 @@
     }
     Ok(ExitCode::from(u8::from(!good)))
 }
+
+fn fleets(a: &AgreeArguments) -> Result<ExitCode, String> {
+    if a.fleets.iter().any(|h| !(3..=2_000).contains(h)) || !(0.0..=0.9).contains(&a.loss) {
+        return Err(format!("--fleet {:?} --loss {}; expected 3 to 2000, and 0 to 0.9", a.fleets, a.loss));
+    }
+    println!(
+        "models in virtual time, three voters, beats of 0.1 s, leases of 5 s, {} seeds from {}, {} lost",
+        a.seeds, a.first, a.loss
+    );
+    println!(
+        "{:>5} {:>5} {:>7} {:>9} {:>11} {:>15} {:>15} {:>10} {:>10} {:>8}",
+        "hosts",
+        "seed",
+        "begins",
+        "bytes/s",
+        "leader's",
+        "known",
+        "all know",
+        "changes/s",
+        "no leader",
+        "longest"
+    );
+    let trials: Vec<FleetTrial> = a
+        .fleets
+        .iter()
+        .flat_map(|h| {
+            (a.first..a.first + a.seeds).map(|seed| FleetTrial { hosts: *h, voters: 3, seed, loss: a.loss })
+        })
+        .collect();
+    let all = crate::views::each(&trials, a.threads, agreed_fleet);
+    let mut good = true;
+    for (t, f) in trials.iter().zip(all) {
+        let pair = |(median, most): (f64, f64)| format!("{median:.3}, {most:.3}");
+        println!(
+            "{:>5} {:>5} {:>7.2} {:>9.0} {:>11.0} {:>15} {:>15} {:>10.0} {:>10.2} {:>8.3}",
+            t.hosts,
+            t.seed,
+            f.begins,
+            f.bytes,
+            f.leader_bytes,
+            pair(f.known),
+            pair(f.all_know),
+            f.commits,
+            f.leaderless,
+            f.longest
+        );
+        good &= f.broken.is_empty();
+        f.broken.iter().take(3).for_each(|b| println!("      BROKEN: {b}"));
+    }
+    Ok(ExitCode::from(u8::from(!good)))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 mod sim;
 mod views;
 
+pub use agreed::{agreed_fleet, AgreedFigures, FleetTrial};
 pub use agreed::{explore, find_fault, walk, Explored, Walk, Walked};
 pub use compare::{compare, figures, median_with_interval, Change, Line, Variant};
 pub use day::DayScript;
