A way back when most voters are gone for good: force and forget, audited and seen

Need: after the loss of most voters floors held until the fleet was begun anew. Change: one voter goes on alone as a log of its own mark, once it has heard no leader for ten times the patience; others forget theirs and follow; both with who and why in the audit trail. Cause found by the test of it: a leader of the former log was followed by the forced host, whose disk still counted among its voters (append and fill named no log; the disk kept its mark): words name their log now and a forced or forgetful disk draws a new mark.

--- a/crates/agreement/src/seat.rs
+++ b/crates/agreement/src/seat.rs
@@ -17,6 +17,8 @@
 const GIVE_UP: f64 = 12.0;
 /// Asks in a row without an answer after which another is asked.
 const UNANSWERED: u32 = 2;
+/// Beats after which a change without a word is said again: it counts once all the same.
+const SAY_AGAIN: f64 = 4.0;
 /// Bytes before a change's own: host, life and number.
 const HEAD: usize = 20;
 
@@ -90,6 +92,7 @@
     turn: usize,
     leader: Option<u32>,
     clients: Clients,
+    founders: BTreeSet<u32>,
     number: u32,
     changes: VecDeque<Change>,
     /// Places that hold, by when this host learned of them: nobody goes by what was before any more once that is long enough ago.
@@ -114,6 +117,7 @@
             turn: s.me as usize,
             leader: None,
             clients: BTreeMap::new(),
+            founders: s.founders.clone(),
             number: 0,
             changes: VecDeque::new(),
             learned: VecDeque::new(),
@@ -199,6 +203,28 @@
         Status { leader: self.leader(), ..self.voter.status(now) }
     }
 
+    /// Goes on alone where most voters are gone for good; the new log's mark. `state` is what all that holds here led to.
+    pub fn force(&mut self, now: Instant, state: &[u8]) -> Result<u64, Refusal> {
+        let whole = self.with_clients(&self.clients, state);
+        let id = self.voter.force(now, whole)?;
+        self.lease = Lease::new(now, self.settings.lease, self.settings.drift);
+        (self.leader, self.other_log, self.folding) = (None, false, None);
+        self.follow(now);
+        Ok(id)
+    }
+
+    /// Forgets its log, to follow another; no lease counts from here on.
+    pub fn forget(&mut self, now: Instant) -> Result<(), Refusal> {
+        let founders = self.founders.clone();
+        self.voter.forget(now, &founders)?;
+        self.lease = Lease::new(now, self.settings.lease, self.settings.drift);
+        (self.leader, self.other_log, self.folding) = (None, false, None);
+        self.clients.clear();
+        self.learned.clear();
+        self.follow(now);
+        Ok(())
+    }
+
     pub fn heard(&mut self, now: Instant, from: u32, word: Word) {
         match &word {
             Word::Granted { to_life, .. }
@@ -243,16 +269,21 @@
     pub fn folded(&mut self, now: Instant, index: u64, state: &[u8]) {
         // Those of then, whatever came since: the state is of then, too.
         let Some((_, clients)) = self.folding.take_if(|(i, _)| *i == index) else { return };
+        let whole = self.with_clients(&clients, state);
+        self.voter.folded(index, whole);
+        self.follow(now);
+    }
+
+    fn with_clients(&self, clients: &Clients, state: &[u8]) -> Bytes {
         let mut out = BytesMut::with_capacity(state.len() + 4 + clients.len() * 16);
         out.put_u32(clients.len() as u32);
         for (slot, (life, number)) in clients {
-            out.put_u32(slot);
-            out.put_u64(life);
-            out.put_u32(number);
+            out.put_u32(*slot);
+            out.put_u64(*life);
+            out.put_u32(*number);
         }
         out.put_slice(state);
-        self.voter.folded(index, out.freeze());
-        self.follow(now);
+        out.freeze()
     }
 
     fn restore(&mut self, base: Base) -> SeatOutput {
@@ -332,7 +363,7 @@
     }
 
     fn say_changes(&mut self, now: Instant) {
-        let patience = self.settings.patience;
+        let again = Span::from_secs(self.settings.beat.secs() * SAY_AGAIN);
         while let Some(c) = self.changes.front().filter(|c| now >= c.until) {
             self.outputs.push_back(SeatOutput::GaveUp { number: c.number });
             self.changes.pop_front();
@@ -351,12 +382,13 @@
             self.voter.propose(now, data).ok().map(|_| term)
         } else {
             if let Some(to) = self.whom().filter(|to| *to != self.me) {
-                self.send(now, to, Word::Propose { data });
+                let id = self.voter.log().base().id;
+                self.send(now, to, Word::Propose { id, data });
             }
             None
         };
         if let Some(c) = self.changes.front_mut() {
-            (c.again, c.put) = (now + patience, put);
+            (c.again, c.put) = (now + again, put);
         }
     }
 
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -37,6 +37,8 @@
 /// Bytes of entries in one word.
 const WORD_BYTES: usize = 64 << 10;
 const WORD_ENTRIES: usize = 128;
+/// Times of patience without a leader before a host may go on by force.
+const FORCE: f64 = 10.0;
 /// Words that wait for the disk, at most. Beyond that new ones are lost, as on any network.
 const HELD: usize = 4096;
 
@@ -502,6 +504,75 @@
         self.write(Write { disk: Some(self.of.disk), ..Write::default() });
     }
 
+    /// Most voters are gone for good: this host goes on alone with what it has, as another log, which no host of the former
+    /// takes for that one. `state` is what all up to its last commit led to.
+    pub(crate) fn force(&mut self, now: Instant, state: Bytes) -> Result<u64, Refusal> {
+        let refuse = |why: String| Err(Refusal::Voters(why));
+        if self.failed || self.founding.is_some() || self.log.base().id == 0 {
+            return refuse(
+                "nothing was agreed on here; expected a host that has a log, and a disk that takes writes"
+                    .into(),
+            );
+        }
+        let silent = now - self.heard;
+        let least = Span::from_secs(self.settings.patience.secs() * FORCE);
+        if self.leads() || silent < least {
+            return refuse(format!(
+                "a leader was heard {:.1} s ago; expected none for {:.1} s, as a majority may be there",
+                silent.secs().max(0.0),
+                least.secs()
+            ));
+        }
+        self.unstable(self.commit);
+        let id = self.chance.rand_u64() | 1;
+        // Those of the former log do not count this host any more.
+        self.of.disk = self.chance.rand_u64() | 1;
+        let voters = Voters::from([(self.me, self.of.disk)]);
+        let last = tackmast_wire::agree::Mark { term: self.hard.term + 1, index: self.commit };
+        self.hard = Hard { term: last.term, vote: None };
+        self.log.restore(Base { id, last, voters, state });
+        self.write(Write { disk: Some(self.of.disk), ..Write::default() });
+        self.write_hard();
+        self.write_base();
+        self.role = Role::Follower { leader: None };
+        self.rest(now);
+        self.mode(format!(
+            "agreement: forced: host {} goes on alone from entry {}, as log {id:x}; other hosts have to forget theirs",
+            self.me, self.commit
+        ));
+        Ok(id)
+    }
+
+    /// This host forgets its log, so that it can follow another one; it votes no more until it is made a voter.
+    pub(crate) fn forget(&mut self, now: Instant, founders: &BTreeSet<u32>) -> Result<(), Refusal> {
+        let silent = now - self.heard;
+        let least = Span::from_secs(self.settings.patience.secs() * FORCE);
+        if self.failed || self.leads() || (self.votes() && silent < least) {
+            let why = "this host votes, and hears a leader; expected one that is not needed where it is";
+            return Err(Refusal::Voters(why.into()));
+        }
+        self.mode(format!("agreement: host {} forgets its log of {} entries", self.me, self.commit));
+        self.unstable(0);
+        self.of.disk = self.chance.rand_u64() | 1;
+        // Under its new mark this disk has never voted, and the other log counts its own terms.
+        self.hard = Hard::default();
+        self.commit = 0;
+        self.fetch = follow::Fetch::default();
+        self.fold_asked = None;
+        self.role = Role::Follower { leader: None };
+        self.log.restore(Base::default());
+        // Never again a founder: a fleet that has begun must not begin twice.
+        self.founding = Some(found::Founding::following(founders.clone()));
+        self.write(Write {
+            hard: Some(self.hard),
+            base: Some(Base::default()),
+            entries: Some((1, Vec::new())),
+            disk: Some(self.of.disk),
+            ..Write::default()
+        });
+        Ok(())
+    }
+
     /// A word of another host has come.
     pub fn heard(&mut self, now: Instant, from: u32, word: Word) {
         if self.failed {
@@ -510,7 +581,10 @@
         match word {
             Word::Ask { pre, term, last, of } => self.asked(now, from, pre, term, last, of),
             Word::Vote { pre, term, granted, of } => self.voted(now, from, pre, term, granted, of),
-            Word::Append { term, round, before, commit, entries } => {
+            // Against the words of a log that goes on elsewhere beside one that was begun by force.
+            Word::Append { id, .. } | Word::Fill { id, .. } | Word::Propose { id, .. }
+                if id != self.log.base().id => {}
+            Word::Append { term, round, before, commit, entries, .. } => {
                 self.append(now, from, term, round, before, commit, entries)
             }
             Word::Appended { term, round, matches, index, of } => {
@@ -519,14 +593,14 @@
             Word::Snapshot { term, id, last, voters, state } => {
                 self.snapshot(now, from, term, Base { id, last, voters, state })
             }
-            Word::Propose { data } => {
+            Word::Propose { data, .. } => {
                 if let Err(Refusal::NotLeader(leader)) = self.propose(now, data) {
                     self.say(from, Word::Leads { term: self.hard.term, leader });
                 }
             }
             Word::Renew { seq, has, of } => self.renew(now, from, seq, has, of),
             Word::Want { has } => self.wanted(from, has),
-            Word::Fill { after, entries } => self.fill(now, after, entries),
+            Word::Fill { after, entries, .. } => self.fill(now, after, entries),
             Word::FillState { id, last, voters, state } => {
                 self.fill_state(now, Base { id, last, voters, state })
             }
--- a/crates/agreement/src/voter/follow.rs
+++ b/crates/agreement/src/voter/follow.rs
@@ -103,7 +103,7 @@
 
     pub(super) fn snapshot(&mut self, now: Instant, from: u32, term: u64, base: Base) {
         let round = 0;
-        if self.founding.is_some() || !self.follows(now, from, term, round) {
+        if self.founding.is_some() || base.id != self.log.base().id || !self.follows(now, from, term, round) {
             return;
         }
         let index = base.last.index;
@@ -158,7 +158,8 @@
             self.say(from, Word::FillState { id, last, voters, state });
         }
         if !entries.is_empty() {
-            self.say(from, Word::Fill { after, entries });
+            let id = self.log.base().id;
+            self.say(from, Word::Fill { id, after, entries });
         }
     }
 
--- a/crates/agreement/src/voter/found.rs
+++ b/crates/agreement/src/voter/found.rs
@@ -18,13 +18,19 @@
     agree: BTreeSet<u32>,
     pub next_say: Instant,
     told: bool,
+    /// It only waits to follow a log that others have.
+    follows: bool,
 }
 
 impl Founding {
     pub fn new(founders: BTreeSet<u32>, sealed: Option<Voters>) -> Founding {
         let on_disk = sealed.is_some().then_some(0);
         let (disks, agree, next_say, told) = (Voters::new(), BTreeSet::new(), Instant::default(), false);
-        Founding { founders, disks, sealed, on_disk, agree, next_say, told }
+        Founding { founders, disks, sealed, on_disk, agree, next_say, told, follows: false }
+    }
+
+    pub fn following(founders: BTreeSet<u32>) -> Founding {
+        Founding { follows: true, ..Founding::new(founders, None) }
     }
 }
 
@@ -35,7 +41,7 @@
         if now < f.next_say {
             return;
         }
-        let is_founder = f.founders.contains(&me);
+        let is_founder = f.founders.contains(&me) && !f.follows;
         let beats = if is_founder { 1.0 } else { FOLLOWER_BEATS };
         f.next_say = now + Span::from_secs(beat.secs() * beats);
         let others: Vec<u32> = f.founders.iter().copied().filter(|s| *s != me).collect();
@@ -87,7 +93,7 @@
             }
             return self.say(from, Word::Want { has: 0 });
         }
-        if !f.founders.contains(&from) || !f.founders.contains(&self.me) {
+        if !f.founders.contains(&from) || !f.founders.contains(&self.me) || f.follows {
             return;
         }
         if f.sealed.is_some() && f.disks.get(&from).is_some_and(|d| *d != of.disk) && !f.told {
--- a/crates/agreement/src/voter/lead.rs
+++ b/crates/agreement/src/voter/lead.rs
@@ -168,7 +168,7 @@
     }
 
     fn send_to(&mut self, now: Instant, to: u32) {
-        let (term, commit) = (self.hard.term, self.commit);
+        let (id, term, commit) = (self.log.base().id, self.hard.term, self.commit);
         let long = Span::from_secs(self.settings.beat.secs() * LARGE_BEATS);
         let Role::Leader(l) = &mut self.role else { return };
         let round = l.round;
@@ -181,14 +181,14 @@
         };
         let Some(before) = before else {
             // It lacks what is folded. While that is on its way it hears at least that this host leads.
-            let Base { id, last, voters, state } = self.log.base().clone();
+            let Base { last, voters, state, .. } = self.log.base().clone();
             if !waits {
                 p.large = Some(now);
                 p.next = last.index + 1;
                 self.say(to, Word::Snapshot { term, id, last, voters, state });
             }
             let (before, entries) = (last, Vec::new());
-            return self.say(to, Word::Append { term, round, before, commit: 0, entries });
+            return self.say(to, Word::Append { id, term, round, before, commit: 0, entries });
         };
         let entries = match waits {
             true => Vec::new(),
@@ -200,7 +200,7 @@
         if bytes > LARGE {
             p.large = Some(now);
         }
-        self.say(to, Word::Append { term, round, before, commit, entries });
+        self.say(to, Word::Append { id, term, round, before, commit, entries });
     }
 
     /// A round begins: who answers it took this host for the leader after now.
--- a/crates/agreement/tests/seat.rs
+++ b/crates/agreement/tests/seat.rs
@@ -101,8 +101,14 @@
     v.heard(at(1.2), 2, ask(2));
     assert!(matches!(words(&drain(&mut v, at(1.2)))[..], [(2, Word::Vote { granted: false, .. })]));
     // Nor while a leader is heard, whatever the term: one that was cut off must not unseat it.
-    let beat =
-        Word::Append { term: 2, round: 1, before: Mark { term: 1, index: 1 }, commit: 0, entries: vec![] };
+    let beat = Word::Append {
+        id: 9,
+        term: 2,
+        round: 1,
+        before: Mark { term: 1, index: 1 },
+        commit: 0,
+        entries: vec![],
+    };
     v.heard(at(1.3), 1, beat);
     drain(&mut v, at(1.3));
     v.heard(at(1.4), 2, Word::Ask { pre: false, term: 9, last: Mark { term: 8, index: 9 }, of: of(2, 1) });
--- a/crates/cli/src/agreement.rs
+++ b/crates/cli/src/agreement.rs
@@ -16,6 +16,22 @@
     /// Changes who votes, one host at a time; asked of the host that leads.
     #[command(subcommand)]
     Voter(VoterCommand),
+    /// Most voters are gone for good: this host goes on alone from what it has, as a log of its own. What only the others had
+    /// is lost. Refused while a leader is heard. Other hosts keep to their floors until they `forget`.
+    Force(ByForce),
+    /// This host forgets its log and follows the one that others have; it votes no more until it is made a voter.
+    Forget(ByForce),
+}
+
+#[derive(clap::Args)]
+pub struct ByForce {
+    #[arg(long = "host", value_name = "SOCKET")]
+    host: PathBuf,
+    /// Who does it, and why; both stay in the audit trail.
+    #[arg(long, env = "USER")]
+    who: String,
+    #[arg(long)]
+    why: String,
 }
 
 #[derive(clap::Subcommand)]
@@ -63,10 +79,11 @@
     let posture = if s.posture { "; goes by the floors" } else { "" };
     let voters: Vec<String> = s.voters.iter().map(u32::to_string).collect();
     let mut out = format!(
-        "host {}: {}, term {}; {leader}; voters {}; {place}\n    plans version {}, all have {}; {lease}{posture}; {} entries, {} agreed on, {} folded; in force in {:.1} s\n",
+        "host {}: {}, term {} of log {:x}; {leader}; voters {}; {place}\n    plans version {}, all have {}; {lease}{posture}; {} entries, {} agreed on, {} folded; in force in {:.1} s\n",
         s.host,
         s.role,
         s.term,
+        s.log,
         if voters.is_empty() { "none".into() } else { voters.join(", ") },
         s.version,
         s.told,
@@ -90,6 +107,14 @@
             println!("entry {index}: it holds once most voters have it, which `status` shows");
             Ok(ExitCode::SUCCESS)
         }
+        AgreementReply::Done { log: 0 } => {
+            println!("forgotten: it follows what others have, once it hears of it");
+            Ok(ExitCode::SUCCESS)
+        }
+        AgreementReply::Done { log } => {
+            println!("it goes on alone, as log {log:x}: now `forget` at each other host, then `voter add`");
+            Ok(ExitCode::SUCCESS)
+        }
         AgreementReply::Refused { why } => Err(format!("refused: {why}")),
         AgreementReply::Status(s) => {
             print!("{}", one(&s));
@@ -120,6 +145,8 @@
             }
             Ok(ExitCode::from(u8::from(!good)))
         }
+        AgreementCommand::Force(f) => told(ask(&f.host, AgreementAsk::Force { who: f.who, why: f.why })?),
+        AgreementCommand::Forget(f) => told(ask(&f.host, AgreementAsk::Forget { who: f.who, why: f.why })?),
         AgreementCommand::Voter(VoterCommand::Add { number, host }) => {
             told(ask(&host, AgreementAsk::Voter { host: number, votes: true })?)
         }
--- a/crates/day/src/operators.rs
+++ b/crates/day/src/operators.rs
@@ -11,11 +11,14 @@
 use tackmast_rulecheck::history::{Came, Op};
 
 const PATIENCE: Duration = Duration::from_secs(8);
+/// Tries of a change of the day's own that operators come before.
+const TRIES: u32 = 50;
 
 pub struct Operators {
     ops: Arc<Mutex<Vec<Op>>>,
     over: Arc<AtomicBool>,
     threads: Vec<std::thread::JoinHandle<()>>,
+    began: Instant,
 }
 
 struct Operator {
@@ -85,6 +88,48 @@
     }
 }
 
+/// A change of a plan that the day itself asks for, tried again where an operator was first: its version, and the seconds until
+/// all go by it. Each try is told of.
+pub fn change(
+    socket: &Path,
+    name: &str,
+    to: &tackmast_plans::Plan,
+    began: Instant,
+    mut note: impl FnMut(Op),
+) -> Result<(u64, f64), String> {
+    let mut last = "nothing was asked".to_owned();
+    for _ in 0..TRIES {
+        let Some(PlanReply::Shown(s)) = ask(socket, PlanAsk::Show) else {
+            return Err("its plans are not shown".into());
+        };
+        let base = s.catalogue.version;
+        // What operators move stays as they have it.
+        let weight = s.catalogue.plans.get(name).map_or(to.weight, |p| p.weight);
+        let to = tackmast_plans::Plan { weight, ..to.clone() };
+        let steps = vec![Step::Plan { name: name.to_owned(), to: Some(to) }];
+        let change = Change { base, steps, who: "the day".into(), why: "its script".into() };
+        let asked = began.elapsed().as_secs_f64();
+        let reply = ask(socket, PlanAsk::Apply { change, dry_run: false });
+        let ended = began.elapsed().as_secs_f64();
+        let mut noted = |came| note(Op { began: asked, ended, by: "the day".into(), came });
+        match reply {
+            Some(PlanReply::Applied { version, in_force_s, .. }) => {
+                noted(Came::Applied { base, version });
+                return Ok((version, in_force_s));
+            }
+            Some(PlanReply::Refused { why }) if why.contains("moved since then") => {
+                noted(Came::Conflict { base });
+                last = why;
+            }
+            other => {
+                noted(Came::Unknown { base });
+                return Err(format!("{other:?}"));
+            }
+        }
+    }
+    Err(last)
+}
+
 impl Operators {
     /// So many operators, each with a pause between calls of so many seconds in the mean.
     pub fn start(sockets: Vec<PathBuf>, plan: &str, count: u32, pause_s: f64, seed: u64) -> Operators {
@@ -112,7 +157,16 @@
             })
         });
         let threads = threads.collect();
-        Operators { ops, over, threads }
+        Operators { ops, over, threads, began }
+    }
+
+    /// A call of the day's own.
+    pub fn note(&self, op: Op) {
+        self.ops.lock().unwrap_or_else(PoisonError::into_inner).push(op);
+    }
+
+    pub fn began(&self) -> Instant {
+        self.began
     }
 
     /// All that was done.
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::agreed::AgreedWatcher;
 use crate::fleet::{entry, HostProcess, Launch, Nodes, Seat};
-use crate::operators::Operators;
+use crate::operators::{self, Operators};
 use crate::report::{Report, Served};
 use crate::rig::{How, Rig, Who, TWIN};
 use crate::script::{admin_socket, Action, Misuse, Script};
@@ -17,7 +17,7 @@
 use tackmast::interface::{Effect, Group};
 use tackmast_admin::{Answer, Call};
 use tackmast_config::HostSettings;
-use tackmast_hostcore::{Ask, PlanAsk, PlanReply, Reply};
+use tackmast_hostcore::{Ask, Reply};
 use tackmast_overrides::{Kind, Order, Target};
 use tackmast_standins::initiator::{self, Initiator, Login};
 use tackmast_standins::list::{ListFault, NodeList};
@@ -342,21 +342,11 @@
         };
         let asked = ask.unwrap_or(live.home);
         let socket = admin_socket(&self.dir, asked);
-        let ask =
-            |ask| match tackmast_admin::call(&socket, &Call::Ask(Ask::Plan(ask)), Duration::from_secs(5)) {
-                Ok(Answer::Reply(r)) => Ok(*r),
-                other => Err(format!("{other:?}")),
-            };
-        let base = match ask(PlanAsk::Show) {
-            Ok(Reply::Plan(PlanReply::Shown(status))) => status.catalogue.version,
-            other => return self.failures.push(format!("plans of host {asked}: {other:?}")),
-        };
         let (limit, burst, slack) = (to.limit, to.burst, to.slack);
-        let steps = vec![tackmast_plans::Step::Plan { name: name.to_owned(), to: Some(to) }];
-        let (who, why) = ("the day".to_owned(), "its script".to_owned());
-        let change = tackmast_plans::Change { base, steps, who, why };
-        match ask(PlanAsk::Apply { change, dry_run: false }) {
-            Ok(Reply::Plan(PlanReply::Applied { version, in_force_s, .. })) => {
+        let began = self.operators.as_ref().map_or(self.began, Operators::began);
+        let note = |op| self.operators.iter().for_each(|o| o.note(Clone::clone(&op)));
+        match operators::change(&socket, name, &to, began, note) {
+            Ok((version, in_force_s)) => {
                 // The watcher counts from here; the rule checker from the same moment.
                 if let Some(w) = &self.agreed {
                     w.acknowledged(version, in_force_s);
@@ -367,7 +357,7 @@
                     self.recorder.note_at(from, moved);
                 }
             }
-            other => self.failures.push(format!("a change of plan {name}: {other:?}")),
+            Err(why) => self.failures.push(format!("a change of plan {name} at host {asked}: {why}")),
         }
     }
 
--- a/crates/hostcore/src/agreed.rs
+++ b/crates/hostcore/src/agreed.rs
@@ -30,12 +30,26 @@
         host: u32,
         votes: bool,
     },
+    /// Most voters are gone for good: this host goes on alone, from what it has.
+    Force {
+        who: String,
+        why: String,
+    },
+    /// This host forgets its log, to follow one that was forced elsewhere.
+    Forget {
+        who: String,
+        why: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AgreementReply {
     Status(Box<AgreementStatus>),
+    /// Done here, and written into the audit trail; of a force, the mark of the log that it began.
+    Done {
+        log: u64,
+    },
     /// It stands in the log at that place, and holds once most have it.
     Taken {
         index: u64,
@@ -54,6 +68,8 @@
     pub role: String,
     pub term: u64,
     pub leader: Option<u32>,
+    /// The mark of the log: hosts with different ones do not go by the same.
+    pub log: u64,
     pub voters: Vec<u32>,
     pub votes: bool,
     pub founded: bool,
@@ -182,6 +198,7 @@
             role: s.role.into(),
             term: s.term,
             leader: s.leader,
+            log: self.seat.voter.log().base().id,
             voters: s.voters.keys().copied().collect(),
             votes: s.votes,
             founded: s.founded,
--- a/crates/hostcore/src/core/agreed.rs
+++ b/crates/hostcore/src/core/agreed.rs
@@ -164,11 +164,16 @@
     }
 
     fn agreed_restore(&mut self, now: Instant, index: u64, state: &[u8]) {
-        let Some(plans) = self.plans.as_mut().filter(|_| !state.is_empty()) else { return };
+        let Some(plans) = self.plans.as_mut() else { return };
         if let Some(a) = &mut self.agreed {
             a.changed_at = index;
         }
-        match plans.agreed_restore(state) {
+        let restored = match state {
+            // A log's beginning: what the settings say.
+            [] => Ok(plans.agreed_anew()),
+            state => plans.agreed_restore(state),
+        };
+        match restored {
             Ok(moves) => self.go_by(now, &moves),
             Err(e) => self.mode(format!("plans: what the fleet agreed on can't be read here: {e}")),
         }
@@ -260,6 +265,8 @@
                 }
                 AgreementReply::Status(Box::new(s))
             }
+            (Some(_), AgreementAsk::Force { who, why }) => self.by_force(now, &who, &why, false),
+            (Some(_), AgreementAsk::Forget { who, why }) => self.by_force(now, &who, &why, true),
             (Some(a), AgreementAsk::Voter { host, votes }) => {
                 match a.seat.voter.change_voters(now, host, votes) {
                     Ok(index) => AgreementReply::Taken { index },
@@ -270,4 +277,43 @@
         self.outputs.push_back(Output::Reply { request, reply: Reply::Agreement(reply) });
         self.go_on_agreed(now);
     }
+
+    /// What an operator does by force, with who and why in the audit trail before it is said to be done.
+    fn by_force(&mut self, now: Instant, who: &str, why: &str, forget: bool) -> AgreementReply {
+        let at_us = self.wall_us(now);
+        let text = |t: &str| !t.trim().is_empty() && t.len() <= 200 && !t.contains(char::is_control);
+        if !text(who) || !text(why) {
+            let why = format!("who {who:?}, why {why:?}; expected 1 to 200 printable bytes each");
+            return AgreementReply::Refused { why };
+        }
+        let Some(a) = &mut self.agreed else {
+            return AgreementReply::Refused {
+                why: "this host has no agreement block in its settings".into(),
+            };
+        };
+        let state = self.plans.as_ref().map(Plans::agreed_bytes).unwrap_or_default();
+        let done = match forget {
+            true => a.seat.forget(now).map(|()| 0),
+            false => a.seat.force(now, &state),
+        };
+        let log = match done {
+            Ok(log) => log,
+            Err(r) => return AgreementReply::Refused { why: r.to_string() },
+        };
+        a.changed_at = a.seat.commit();
+        let what = match forget {
+            true => format!("agreement: forgot its log: {why}"),
+            false => format!("agreement: forced, log {log:x}, from entry {}: {why}", a.changed_at),
+        };
+        let audit = tackmast_overrides::Audit {
+            at_us,
+            kind: tackmast_overrides::AuditKind::Forced,
+            id: None,
+            who: who.to_owned(),
+            what,
+        };
+        let keep = Keep { audits: vec![audit], ..Keep::default() };
+        self.outputs.push_back(Output::Keep { request: 0, keep });
+        AgreementReply::Done { log }
+    }
 }
--- a/crates/hostcore/src/plans.rs
+++ b/crates/hostcore/src/plans.rs
@@ -223,6 +223,16 @@
         self.agreed.as_ref().map(Agreed::to_bytes).unwrap_or_default()
     }
 
+    /// As at the beginning of a log.
+    pub fn agreed_anew(&mut self) -> Vec<Move> {
+        let from = self.trail().catalogue.clone();
+        let posture = self.posture;
+        self.agree();
+        self.posture = posture;
+        let to = self.trail().catalogue.clone();
+        self.moves(&from, &to)
+    }
+
     pub fn agreed_restore(&mut self, state: &[u8]) -> Result<Vec<Move>, TrailError> {
         let from = self.trail().catalogue.clone();
         self.agreed = Some(Agreed::from_bytes(state, &self.fleet)?);
--- a/crates/hostcore/tests/agreed.rs
+++ b/crates/hostcore/tests/agreed.rs
@@ -377,3 +377,48 @@
         assert_eq!(f.read(h, 2), Ok(()), "host {h}");
     }
 }
+
+#[test]
+fn the_loss_of_most_voters_for_good_has_a_way_back_that_is_seen() {
+    let mut f = Fleet::new(&[0, 1, 2, 3], "");
+    f.run(3.0);
+    assert_eq!(f.plan(3, 120.0, None), Ok(1));
+    f.run(1.0);
+    let by = |who: &str| (who.to_owned(), "two machines burnt".to_owned());
+    let force = |who: &str| Ask::Agreement(AgreementAsk::Force { who: by(who).0, why: by(who).1 });
+    let forget = |who: &str| Ask::Agreement(AgreementAsk::Forget { who: by(who).0, why: by(who).1 });
+    let refused = |r: Reply| matches!(r, Reply::Agreement(AgreementReply::Refused { .. }));
+    // Not while a leader is heard, and not without a name.
+    assert!(refused(f.ask(2, force("ann"))) && refused(f.ask(2, force(" "))));
+    f.away = vec![0, 1];
+    f.run(0.5);
+    assert!(refused(f.ask(2, force("ann"))), "a leader was heard a moment ago");
+    f.run(5.0);
+    let former = f.status(2).log;
+    let Reply::Agreement(AgreementReply::Done { log }) = f.ask(2, force("ann")) else { panic!() };
+    f.run(3.0);
+    let (two, three) = (f.status(2), f.status(3));
+    assert_eq!((two.log, two.lease.as_str(), two.version), (log, "holds", 1));
+    assert!(log != former && three.log == former && three.posture, "host 3 keeps to the former log");
+    assert!(matches!(f.ask(3, forget("ann")), Reply::Agreement(AgreementReply::Done { log: 0 })));
+    f.run(3.0);
+    let three = f.status(3);
+    assert_eq!((three.log, three.lease.as_str(), three.version, three.votes), (log, "holds", 1, false));
+    assert_eq!(f.plan(3, 150.0, None), Ok(2));
+    // The others were not gone: their majority goes on with its own log, and each host shows which it goes by.
+    f.away.clear();
+    f.run(3.0);
+    let logs: Vec<u64> = (0..HOSTS).map(|h| f.status(h).log).collect();
+    assert_eq!(logs, [former, former, log, log]);
+    assert_eq!((f.status(0).version, f.status(3).version), (1, 2));
+    // One of them is brought over, and made a voter.
+    f.away = vec![1];
+    f.run(5.0);
+    assert!(matches!(f.ask(0, forget("bob")), Reply::Agreement(AgreementReply::Done { .. })));
+    f.run(3.0);
+    let add = Ask::Agreement(AgreementAsk::Voter { host: 0, votes: true });
+    assert!(matches!(f.ask(2, add), Reply::Agreement(AgreementReply::Taken { .. })));
+    f.run(2.0);
+    let zero = f.status(0);
+    assert_eq!((zero.log, zero.votes, zero.version, zero.voters), (log, true, 2, vec![0, 2]));
+}
--- a/crates/lab/src/agreed/fleet.rs
+++ b/crates/lab/src/agreed/fleet.rs
@@ -326,23 +326,28 @@
     }
     // A third is cut off, one voter among them, while changes go on elsewhere.
     f.cut = (0..t.hosts).map(|h| h % 3 == 2).collect();
-    let began = f.now;
-    let mut holds: Vec<Us> = Vec::new();
-    while f.now < began + 8_000_000 {
-        let text = f.change(0);
+    let (began, newest) =
+        (f.now, |f: &Fleet| f.hosts.iter().filter_map(|x| x.seat.as_ref()).map(Seat::commit).max());
+    let base = newest(&f).unwrap_or(0);
+    // Since when something newer is known anywhere.
+    let mut first = None;
+    while f.now < began + 12_000_000 {
+        f.change(0);
         f.run(0.05);
-        // Since when it is known anywhere.
-        holds.extend(f.hosts.iter().filter_map(|x| x.known.get(&text)).min());
-        let newest = f.hosts.iter().filter_map(|x| x.seat.as_ref()).map(Seat::commit).max().unwrap_or(0);
-        let Some(first) = holds.first().copied() else { continue };
+        if newest(&f).unwrap_or(0) > base {
+            first.get_or_insert(f.now);
+        }
         let now = at(f.now);
         let behind =
-            |x: &&Host| x.seat.as_ref().is_some_and(|s| s.commit() < newest && s.standing(now).holds());
-        let cut_off = f.hosts.iter().zip(&f.cut).filter(|(_, c)| **c).map(|(x, _)| x);
-        if cut_off.filter(behind).count() > 0 {
-            figures.longest = (f.now - first) as f64 / 1e6;
+            |x: &Host| x.seat.as_ref().is_some_and(|s| s.commit() <= base && s.standing(now).holds());
+        let cut_off = f.hosts.iter().zip(&f.cut).filter(|(_, c)| **c);
+        if let Some(t) = first.filter(|_| cut_off.clone().any(|(x, _)| behind(x))) {
+            figures.longest = (f.now - t) as f64 / 1e6;
         }
     }
+    if first.is_none() {
+        figures.broken.push("nothing is agreed on without a third".into());
+    }
     let lease = f.settings.lease.secs();
     if figures.longest > lease {
         figures.broken.push(format!("an older word for {:.3} s; the lease is {lease} s", figures.longest));
--- a/crates/overrides/src/engine.rs
+++ b/crates/overrides/src/engine.rs
@@ -103,6 +103,8 @@
     /// Its end came while the host was not running.
     EndedAway,
     ClockStepped,
+    /// Something that hosts agree on was gone past by force.
+    Forced,
 }
 
 /// A line that survives.
--- a/crates/wire/src/agree.rs
+++ b/crates/wire/src/agree.rs
@@ -64,6 +64,8 @@
     },
     /// The leader's entries after `before`, none as a beat.
     Append {
+        /// Of the log: one that was begun by force has voters and terms that say nothing here.
+        id: u64,
         term: u64,
         round: u64,
         before: Mark,
@@ -88,6 +90,7 @@
     },
     /// To be put into the log.
     Propose {
+        id: u64,
         data: Bytes,
     },
     /// The sender has all up to `has`, on its disk, and asks until when that counts.
@@ -117,6 +120,7 @@
         has: u64,
     },
     Fill {
+        id: u64,
         after: u64,
         entries: Vec<Entry>,
     },
@@ -259,8 +263,9 @@
                 out.put_u8(u8::from(*granted));
                 put_origin(&mut out, of);
             }
-            Word::Append { term, round, before, commit, entries } => {
+            Word::Append { id, term, round, before, commit, entries } => {
                 out.put_u8(3);
+                out.put_u64(*id);
                 out.put_u64(*term);
                 out.put_u64(*round);
                 put_mark(&mut out, *before);
@@ -284,8 +289,9 @@
                 out.put_u32(state.len() as u32);
                 out.put_slice(state);
             }
-            Word::Propose { data } => {
+            Word::Propose { id, data } => {
                 out.put_u8(6);
+                out.put_u64(*id);
                 out.put_u32(data.len() as u32);
                 out.put_slice(data);
             }
@@ -313,8 +319,9 @@
                 out.put_u8(10);
                 out.put_u64(*has);
             }
-            Word::Fill { after, entries } => {
+            Word::Fill { id, after, entries } => {
                 out.put_u8(11);
+                out.put_u64(*id);
                 out.put_u64(*after);
                 put_entries(&mut out, entries);
             }
@@ -353,6 +360,7 @@
                 of: origin(f)?,
             },
             3 => Word::Append {
+                id: f.u64("log")?,
                 term: f.u64("term")?,
                 round: f.u64("round")?,
                 before: mark(f)?,
@@ -373,7 +381,7 @@
                 voters: voters(f)?,
                 state: long(f, "state", MOST_STATE)?,
             },
-            6 => Word::Propose { data: long(f, "proposal", MOST_ENTRY)? },
+            6 => Word::Propose { id: f.u64("log")?, data: long(f, "proposal", MOST_ENTRY)? },
             7 => Word::Renew { seq: f.u32("number")?, has: f.u64("index")?, of: origin(f)? },
             8 => Word::Granted {
                 id: f.u64("log")?,
@@ -388,7 +396,7 @@
                 leader: Some(f.u32("leader")?).filter(|s| *s != u32::MAX),
             },
             10 => Word::Want { has: f.u64("index")? },
-            11 => Word::Fill { after: f.u64("index")?, entries: entries(f)? },
+            11 => Word::Fill { id: f.u64("log")?, after: f.u64("index")?, entries: entries(f)? },
             12 => Word::FillState {
                 id: f.u64("log")?,
                 last: mark(f)?,
@@ -430,17 +438,17 @@
         vec![
             Word::Ask { pre: true, term: 4, last, of },
             Word::Vote { pre: false, term: 4, granted: true, of },
-            Word::Append { term: 4, round: 9, before: last, commit: 3, entries: entries.clone() },
-            Word::Append { term: 4, round: 9, before: last, commit: 3, entries: vec![] },
+            Word::Append { id: 8, term: 4, round: 9, before: last, commit: 3, entries: entries.clone() },
+            Word::Append { id: 8, term: 4, round: 9, before: last, commit: 3, entries: vec![] },
             Word::Appended { term: 4, round: 9, matches: false, index: 2, of },
             Word::Snapshot { term: 4, id: 8, last, voters: voters.clone(), state: state.clone() },
-            Word::Propose { data: state.clone() },
+            Word::Propose { id: 8, data: state.clone() },
             Word::Renew { seq: 1, has: 2, of },
             Word::Granted { id: 8, to_life: 9, seq: 1, term: 2, index: 3, term_ms: 4 },
             Word::Leads { term: 1, leader: Some(2) },
             Word::Leads { term: 1, leader: None },
             Word::Want { has: 7 },
-            Word::Fill { after: 7, entries },
+            Word::Fill { id: 8, after: 7, entries },
             Word::FillState { id: 8, last, voters: voters.clone(), state },
             Word::Found { of, sealed: true, founded: false, disks: voters },
             Word::Stale { of },
--- /dev/null
+++ b/days/agree/disks.hcl
@@ -0,0 +1,27 @@
+# A voter's disk is lost and another's comes back old: neither votes as before, the third alone is no majority, floors hold, and nothing
+# that was agreed on is gone.
+
+day {
+  base              = "base.hcl"
+  seconds           = 9
+  hosts             = 5
+  seed              = 29
+  members           = true
+  exercises         = [1, 7]
+  operators         = 2
+  operators_pause_s = 0.05
+}
+
+trouble "an old disk" {
+  at_s  = 1.5
+  for_s = 1.5
+  host  = "old-disk"
+  hosts = [2]
+}
+
+trouble "a lost disk" {
+  at_s  = 4.5
+  for_s = 0.3
+  host  = "wipe"
+  hosts = [1]
+}
