--- a/crates/day/src/operators.rs
+++ b/crates/day/src/operators.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tackmast_admin::{Answer, Call};
-use tackmast_hostcore::{Ask, PlanAsk, PlanReply, Reply};
+use tackmast_hostcore::{AgreementAsk, AgreementReply, Ask, PlanAsk, PlanReply, Reply};
 use tackmast_plans::{Change, Step};
 use tackmast_rulecheck::history::{Came, Op};
 
@@ -130,6 +130,28 @@
     Err(last)
 }
 
+/// Asks whoever leads to make a host a voter, or to take it out; again for a while, as a leader may not know of it yet.
+pub fn voter(dir: &Path, hosts: u32, host: u32, votes: bool) -> Result<(), String> {
+    let mut last = "no host answered".to_owned();
+    for _ in 0..TRIES {
+        for h in 0..hosts {
+            let socket = crate::script::admin_socket(dir, h);
+            let call = Call::Ask(Ask::Agreement(AgreementAsk::Voter { host, votes }));
+            match tackmast_admin::call(&socket, &call, Duration::from_millis(500)) {
+                Ok(Answer::Reply(r)) => match *r {
+                    Reply::Agreement(AgreementReply::Taken { .. }) => return Ok(()),
+                    Reply::Agreement(AgreementReply::Refused { why }) => last = why,
+                    other => last = format!("{other:?}"),
+                },
+                Ok(other) => last = format!("{other:?}"),
+                Err(e) => last = e,
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    Err(last)
+}
+
 impl Operators {
     /// So many operators, each with a pause between calls of so many seconds in the mean.
     pub fn start(sockets: Vec<PathBuf>, plan: &str, count: u32, pause_s: f64, seed: u64) -> Operators {
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -424,6 +424,11 @@
             Action::Plan { name, limit_times, burst_times, ask } => {
                 self.plan(name, (*limit_times, *burst_times), *ask)
             }
+            Action::Voter { host, votes } => {
+                if let Err(why) = operators::voter(&self.dir, self.script.day.hosts, *host, *votes) {
+                    self.failures.push(format!("voter {host}, votes {votes}: {why}"));
+                }
+            }
             Action::Order { hosts, kind, target, nodes, refused, force } => {
                 let named = self.nodes.named(nodes);
                 let address = |n: &String| self.nodes.node(n).map(|n| Target::Node(n.address()));
@@ -486,6 +491,7 @@
                 self.nodes_do(nodes, &Fault::Restart(*down_s));
             }
             Action::Pauses { .. } | Action::Move { .. } | Action::Client { .. } | Action::Order { .. } => {}
+            Action::Voter { .. } => {}
             Action::Plan { name, ask, .. } => self.plan(name, (1.0, 1.0), *ask),
             Action::List(ListFault::Late(_)) => self.list.set(&ListFault::Late(self.script.list_late_s)),
             Action::List(ListFault::Fails(_)) => self.list.set(&ListFault::Fails(false)),
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -242,6 +242,7 @@
     plan: Option<String>,
     /// The host that is asked for a change of plans.
     ask: Option<u32>,
+    voter: Option<String>,
     limit_times: Option<f64>,
     burst_times: Option<f64>,
     #[serde(default)]
@@ -330,6 +331,11 @@
         burst_times: f64,
         ask: Option<u32>,
     },
+    /// Whoever leads is asked to make a host a voter, or to take it out.
+    Voter {
+        host: u32,
+        votes: bool,
+    },
     /// A client at each host that breaks the protocol.
     Client {
         hosts: Vec<u32>,
@@ -820,6 +826,16 @@
             (times("limit_times", t.limit_times)?, times("burst_times", t.burst_times)?);
         return Ok(Action::Plan { name, limit_times, burst_times, ask: t.ask });
     }
+    if let Some(voter) = &t.voter {
+        let words: Vec<&str> = voter.split_whitespace().collect();
+        let wrong = || ("voter", voter.clone(), "add N or remove N, with the number of a host".to_owned());
+        let (votes, number) = match words.as_slice() {
+            ["add", n] => (true, n),
+            ["remove", n] => (false, n),
+            _ => return Err(wrong()),
+        };
+        return Ok(Action::Voter { host: number.parse().map_err(|_| wrong())?, votes });
+    }
     if let Some(client) = &t.client {
         let how = match client.as_str() {
             "garbage" => Misuse::Garbage,
@@ -843,7 +859,8 @@
         (None, Some(times)) => Ok(Action::Surge { traffic: t.traffic.clone(), times }),
         (None, None) if t.moves => Ok(Action::Move { traffic: t.traffic.clone() }),
         _ => {
-            let expected = "one of fault, list, drain, host, way, apart, times, moves, plan and client";
+            let expected =
+                "one of fault, list, drain, host, way, apart, times, moves, plan, voter and client";
             Err(("at_s", "nothing is done".into(), expected.into()))
         }
     }
