--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -594,7 +594,7 @@
                 self.snapshot(now, from, term, Base { id, last, voters, state })
             }
             Word::Propose { data, .. } => {
-                if let Err(Refusal::NotLeader(leader)) = self.propose(now, data) {
+                if let Err(Refusal::NotLeader(leader)) = self.propose_for(now, from, data) {
                     self.say(from, Word::Leads { term: self.hard.term, leader });
                 }
             }
--- a/crates/agreement/src/voter/lead.rs
+++ b/crates/agreement/src/voter/lead.rs
@@ -52,6 +52,8 @@
     pub disks: BTreeMap<u32, u64>,
     /// Up to where those who follow were told of what is committed.
     told: u64,
+    /// By place, who asked for the entry: it hears at once that it holds. No more than may be under way.
+    proposed: BTreeMap<u64, u32>,
 }
 
 impl Lead {
@@ -76,6 +78,7 @@
             has: BTreeMap::new(),
             disks: BTreeMap::new(),
             told: self.commit,
+            proposed: BTreeMap::new(),
         };
         self.role = Role::Leader(Box::new(lead));
         self.counters.led += 1;
@@ -223,6 +226,35 @@
         self.grant();
     }
 
+    /// An entry that another host asks for.
+    pub(super) fn propose_for(&mut self, now: Instant, from: u32, data: Bytes) -> Result<(), Refusal> {
+        let index = self.propose(now, data)?;
+        if let Role::Leader(l) = &mut self.role {
+            l.proposed.insert(index, from);
+        }
+        // Where this host alone is most of the voters it may hold already.
+        self.tell_proposers(now);
+        Ok(())
+    }
+
+    fn tell_proposers(&mut self, now: Instant) {
+        let commit = self.commit;
+        let Role::Leader(l) = &mut self.role else { return };
+        let later = l.proposed.split_off(&(commit + 1));
+        let due = std::mem::replace(&mut l.proposed, later);
+        let due: BTreeSet<u32> = due.into_values().collect();
+        for to in due {
+            let Role::Leader(l) = &self.role else { return };
+            match l.peers.contains_key(&to) {
+                true => self.send_to(now, to),
+                false => {
+                    let has = l.has.get(&to).map_or(commit, |(has, _)| *has);
+                    self.wanted(to, has.max(commit.saturating_sub(WORD_ENTRIES as u64)));
+                }
+            }
+        }
+    }
+
     /// What was committed since the last round goes to those who follow without voting, once: one that misses it hears of it
     /// with its next lease.
     fn tell_followers(&mut self) {
@@ -308,6 +340,7 @@
         let of_this_term = self.log.mark_at(most).is_some_and(|m| m.term == self.hard.term);
         if most > self.commit && (of_this_term || self.has(AgreeFault::CommitOldTerm)) {
             self.committed(most);
+            self.tell_proposers(now);
             self.grant();
             // The others need not wait for the beat to go by it.
             let Role::Leader(l) = &mut self.role else { return };
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -67,6 +67,7 @@
     let (first, mut good) = (script.day.seed, true);
     let (mut periods, mut served, mut cost) = (Vec::new(), Vec::new(), Vec::new());
     let (mut false_deaths, mut unsettled) = (0, 0);
+    let mut agreed: Vec<tackmast_day::AgreedSeen> = Vec::new();
     let mut by_fault: std::collections::BTreeMap<(usize, String), Vec<Option<f64>>> = Default::default();
     println!(
         "{} with {} hosts; stand-ins on loopback; periods from the last fault until settled",
@@ -110,6 +111,7 @@
         }
         false_deaths += v.false_deaths;
         served.push(in_time(&r));
+        agreed.extend(r.agreed.clone());
         cost.push((v.bytes, v.cpu));
     }
     let median = |mut x: Vec<f64>| {
@@ -126,6 +128,17 @@
             all.len()
         );
     }
+    if !agreed.is_empty() {
+        let most = |f: fn(&tackmast_day::AgreedSeen) -> f64| agreed.iter().map(f).fold(0.0, f64::max);
+        println!(
+            "agreement: {} changes of the day, an older version gone by for {:.3} s at most of {:.3} allowed; no leader for {:.2} s at most; {} calls of operators in an order",
+            agreed.iter().map(|a| a.changes).sum::<usize>(),
+            most(|a| a.longest_s),
+            most(|a| a.allowed_s),
+            most(|a| a.leaderless_s),
+            agreed.iter().map(|a| a.history).sum::<usize>()
+        );
+    }
     println!(
         "settled: median {:.1}, most {:.1} periods, {unsettled} not; {false_deaths} false deaths; {:.0} bytes a second and {:.2}% of a core a host; in time {:.3}",
         median(periods.clone()),
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -231,7 +231,9 @@
         Action::Move { .. } => {}
         Action::Plan { .. } => return Err("a change of plans".into()),
         Action::Hosts { how, .. } => return Err(format!("{how:?} of processes, which only sockets have")),
-        Action::Voter { .. } | Action::Way { .. } | Action::Apart(_) => return Err("ways, which only sockets have".into()),
+        Action::Voter { .. } | Action::Way { .. } | Action::Apart(_) => {
+            return Err("ways, which only sockets have".into())
+        }
         Action::Order { refused: true, .. } => return Err("an order that must be refused".into()),
         Action::Order { hosts, kind, target, nodes, .. } => {
             let mut named = day.named(nodes);
