--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -85,7 +85,7 @@
     );
     assert_eq!(
         config("hots {}").split(';').next_back(),
-        Some(" expected one of host, bounds, units, load, further_legs, cold_nodes, overrides, membership, plans, stream, plan, volume")
+        Some(" expected one of host, bounds, units, load, further_legs, cold_nodes, overrides, membership, agreement, plans, stream, plan, volume")
     );
 }
 
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -579,6 +579,14 @@
         }
         self.list.stop();
         let rules = tackmast_rulecheck::judge(&trace);
+        if self.script.day.list_spreads_s > 0.0 {
+            let within_us = (self.script.day.list_spreads_s * 1e6) as u64;
+            let spread = tackmast_rulecheck::spread::judge(&trace, within_us);
+            self.failures.extend(spread.breaks.into_iter().take(10));
+            if spread.stops == 0 {
+                self.failures.push("no node was taken away while some host did not hear the list".into());
+            }
+        }
         for r in &self.script.day.exercises {
             if rules.rules.len() == 7 && rules.rule(*r).checked == 0 {
                 self.failures.push(format!("rule {r} was not exercised; the script says that this day does"));
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -48,6 +48,10 @@
     /// False deaths in the view that are taken.
     #[serde(default)]
     pub false_deaths: usize,
+    /// Seconds within which all hosts go by what any was told of a node that drains or is gone; 0: it is not judged. For days
+    /// whose hosts are connected.
+    #[serde(default)]
+    pub list_spreads_s: f64,
     /// Operators that read plans and change the first plan's weight at hosts by chance, and their pause in the mean. What
     /// they see is held against all orders in which it can have happened.
     #[serde(default)]
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod history;
 mod index;
 mod rules;
+pub mod spread;
 
 pub use index::Index;
 
