--- a/crates/rulecheck/src/spread.rs
+++ b/crates/rulecheck/src/spread.rs
@@ -95,7 +95,8 @@
         use ListedState::{Draining, Ready};
         let ms = 1_000;
         // What happens, and how many legs are found, and how many of them are breaks, within 300 ms.
-        let cases: Vec<(&str, Vec<Line>, (usize, usize, usize))> = vec![
+        type Case<'a> = (&'a str, Vec<Line>, (usize, usize, usize));
+        let cases: Vec<Case> = vec![
             ("a ready node", vec![told(0, 0, Ready), leg(900 * ms, 1)], (0, 0, 0)),
             ("soon enough", vec![told(0, 0, Draining), leg(200 * ms, 1)], (0, 1, 0)),
             ("one that was told itself", vec![told(0, 0, Draining), leg(900 * ms, 0)], (0, 1, 1)),
