The list's stand-in notes what a message leaves of each node, not its first change last

The stand-in notes what frees before the bytes leave and what binds after, so the drains were noted last (Inner::note) and legs 312 ms later counted as sent to a node that drains. Ruled out: the host (its list was complete and ready; no leg before it), the relay (reset at 6.65 s, as it should). Change: of several changes of one node in a message the last one counts; a test.

--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -164,6 +164,18 @@
     }
 }
 
+/// What one message leaves of each node: a host that was away gets several changes of one at once, and the last one counts.
+fn last_of_each(entries: &[Entry]) -> Vec<Entry> {
+    let mut kept: Vec<Entry> = Vec::with_capacity(entries.len());
+    for e in entries.iter().rev() {
+        if !kept.iter().any(|k| k.address == e.address) {
+            kept.push(e.clone());
+        }
+    }
+    kept.reverse();
+    kept
+}
+
 impl Inner {
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
@@ -238,8 +250,8 @@
             }
             for (host, frame) in replies {
                 let (entries, complete) = match &frame {
-                    Frame::Changes { entries, .. } => (entries.clone(), false),
-                    Frame::Complete { entries, .. } => (entries.clone(), true),
+                    Frame::Changes { entries, .. } => (last_of_each(entries), false),
+                    Frame::Complete { entries, .. } => (last_of_each(entries), true),
                     _ => (Vec::new(), false),
                 };
                 let bytes = frame.to_bytes();
@@ -282,3 +294,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn of_several_changes_of_one_node_in_one_message_the_last_counts() {
+        let entry =
+            |address: &str, state| Entry { address: address.into(), state, zone: 0, shard: 0, started_us: 0 };
+        let (ready, draining) = (State::Ready, State::Draining);
+        let all = [
+            entry("a", draining),
+            entry("b", ready),
+            entry("a", ready),
+            entry("b", draining),
+            entry("c", ready),
+        ];
+        let expected = [entry("a", ready), entry("b", draining), entry("c", ready)];
+        assert_eq!(last_of_each(&all), expected);
+    }
+}
