--- a/crates/agreement/src/lease.rs
+++ b/crates/agreement/src/lease.rs
@@ -116,7 +116,9 @@
         if newer(&self.comes) {
             self.comes = Some((*index, until));
         }
-        self.next_ask = sent.max(now - self.lease) + Span::from_secs(self.lease.secs() * RENEW);
+        // An answer that was long on its way leaves little of the lease; the next ask still waits its moment.
+        let due = sent + Span::from_secs(self.lease.secs() * RENEW);
+        self.next_ask = due.max(now + Span::from_secs(self.lease.secs() * AGAIN));
     }
 
     /// Somebody spoke to this host, if only to say who leads.
--- a/crates/agreement/src/seat.rs
+++ b/crates/agreement/src/seat.rs
@@ -377,6 +377,10 @@
         let data = c.data.clone();
         let put = if leads {
             if c.put == Some(term) {
+                // It stands in this leader's log: what is left is that it holds. Looked at again later, not without end.
+                if let Some(c) = self.changes.front_mut() {
+                    c.again = now + again;
+                }
                 return;
             }
             self.voter.propose(now, data).ok().map(|_| term)
--- a/crates/lab/src/agreed/world.rs
+++ b/crates/lab/src/agreed/world.rs
@@ -199,8 +199,14 @@
             return;
         }
         let now = self.clock(h);
+        let mut wakes = None;
         if let Some(s) = &mut self.all[h].seat {
             s.tick(now);
+            wakes = Some(s.next_wake(now));
+        }
+        // A host that wants to be woken at once, again and again, does nothing else.
+        if wakes.is_some_and(|w| w <= now) {
+            self.breaks(format!("host {h} wants to be woken at {wakes:?}, at {now:?}"));
         }
         self.collect(h);
     }
--- a/crates/membership/src/lists.rs
+++ b/crates/membership/src/lists.rs
@@ -9,8 +9,10 @@
 
 /// Nodes that a host tells of as draining or gone, at most: the first by address.
 const STOPS: usize = 2_000;
-/// A host that is behind asks a peer, and its service, no more often than this.
+/// A host that is behind asks a peer, and its service, no more often than this; twice as long each time it is told nothing newer,
+/// up to so long: services may count apart for good.
 const AGAIN_S: f64 = 0.2;
+const AGAIN_MOST_S: f64 = 30.0;
 /// What came and waits to be taken, at most.
 const WAITING: usize = 4_096;
 
@@ -31,6 +33,8 @@
     version: u64,
     stops: Vec<ListStop>,
     asked: Option<Instant>,
+    /// Asks since this host's list last moved.
+    asks: u32,
     came: VecDeque<ListCame>,
     says: VecDeque<(SocketAddr, Body)>,
     pub behind: u64,
@@ -51,6 +55,9 @@
             return false;
         }
         let new = version > self.version;
+        if new {
+            self.asks = 0;
+        }
         self.version = version;
         self.stops = stops.into_iter().take(STOPS).collect();
         new
@@ -77,10 +84,13 @@
         }
         match body {
             Body::ListWord { version } if version > self.version => {
-                if self.asked.is_some_and(|t| now - t < Span::from_secs(AGAIN_S)) {
+                let waits =
+                    (AGAIN_S * f64::from(self.asks.min(16)).exp2() / 2.0).clamp(AGAIN_S, AGAIN_MOST_S);
+                if self.asked.is_some_and(|t| now - t < Span::from_secs(waits)) {
                     return;
                 }
                 self.asked = Some(now);
+                self.asks += 1;
                 self.behind += 1;
                 self.push(ListCame::Behind { version });
                 self.says.push_back((from, Body::ListWant { version: self.version }));
@@ -159,6 +169,22 @@
         assert!(meet(&mut a, &mut c, at(11.0)).is_empty());
     }
 
+    #[test]
+    fn services_that_count_apart_for_good_are_not_asked_without_end() {
+        let (mut a, mut b) = (Lists::default(), Lists::default());
+        a.listed(70, []);
+        b.listed(5, []);
+        let mut asked = 0;
+        for i in 0..6_000 {
+            // A word each tenth of a second, for ten minutes; the service has nothing newer.
+            asked += usize::from(!meet(&mut a, &mut b, at(f64::from(i) * 0.1)).is_empty());
+            b.listed(5, []);
+        }
+        assert!((20..40).contains(&asked), "{asked}");
+        // Once it has, the next one is asked for at once.
+        assert!(b.listed(6, []) && !meet(&mut a, &mut b, at(700.0)).is_empty());
+    }
+
     #[test]
     fn a_service_that_goes_back_takes_nothing_back() {
         let mut a = Lists::default();
