--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -38,6 +38,12 @@
     fn script(&self) -> Result<Script, String> {
         let mut script = Script::read_sized(&self.file, self.hosts).map_err(|e| e.to_string())?;
         script.day.seed = self.seed.unwrap_or(script.day.seed);
+        if self.alone && script.settings.agreement.is_some() {
+            return Err(format!(
+                "{}: --alone, and a block agreement; expected a day whose hosts need not hear each other",
+                self.file.display()
+            ));
+        }
         if self.alone {
             (script.day.members, script.day.settled_within) = (false, 0.0);
         }
