An answer without a length is whole where its connection ends in order

Cause: crates/http refused it whole (Bad::NoLength), as end and reset were one thing to the socket layer. By RFC 9112 section 6.3 such an answer ends with its connection; a reset is no end. Change: framing ToEnd, AnswerReader::end for an orderly end only, bounded as other bodies.

--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -38,6 +38,20 @@
         !self.buffer.is_empty()
     }
 
+    /// Whether the answer's head is there, and its body goes on to the end of the connection.
+    pub fn ends_with_connection(&self) -> bool {
+        self.head.as_ref().is_some_and(|(_, reader)| reader.is_to_end())
+    }
+
+    /// The connection has ended in order: the answer that ends with it is whole. A connection that broke cuts it off, and
+    /// must not be told of here.
+    pub fn end(&mut self) -> Result<Option<Answer>, Bad> {
+        if !self.ends_with_connection() {
+            return Ok(None);
+        }
+        Ok(self.head.take().map(|(answer, reader)| Answer { body: reader.end().freeze(), ..answer }))
+    }
+
     /// The answer, once it is whole.
     pub fn answer(&mut self) -> Result<Option<Answer>, Bad> {
         while self.head.is_none() {
@@ -53,9 +67,9 @@
             }
             let none = matches!(answer.status, 204 | 304);
             let framing = if none { Some(Framing::Length(0)) } else { framing };
-            // One that ends with its connection can't be told from one that was cut off.
-            let reader = BodyReader::new(framing.ok_or(Bad::NoLength)?, self.bounds.body)?;
-            self.head = Some((answer, reader));
+            let reader = BodyReader::new(framing.unwrap_or(Framing::ToEnd), self.bounds.body)?;
+            let closes = answer.closes || reader.is_to_end();
+            self.head = Some((Answer { closes, ..answer }, reader));
         }
         let Some((_, reader)) = &mut self.head else { return Ok(None) };
         let Some(body) = reader.take(&mut self.buffer)? else { return Ok(None) };
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -7,6 +7,8 @@
 pub enum Framing {
     Length(u64),
     Chunked,
+    /// To the end of the connection (section 6.3, rule 8): an answer only, and whole only where that ends in order.
+    ToEnd,
 }
 
 /// A chunk's size line, and all trailers together, in bytes at most.
@@ -16,6 +18,7 @@
 #[derive(Debug)]
 enum Next {
     Bytes(usize),
+    ToEnd,
     Size,
     ChunkEnd,
     Trailers(usize),
@@ -39,11 +42,22 @@
             Framing::Length(n) if n > most as u64 => return Err(Bad::LongBody),
             Framing::Length(n) => Next::Bytes(n as usize),
             Framing::Chunked => Next::Size,
+            Framing::ToEnd => Next::ToEnd,
         };
         let chunked = framing == Framing::Chunked;
         Ok(BodyReader { got: BytesMut::new(), next, chunk: 0, chunked, most })
     }
 
+    /// Whether only the end of the connection ends it.
+    pub fn is_to_end(&self) -> bool {
+        matches!(self.next, Next::ToEnd)
+    }
+
+    /// What has come, as the connection has ended.
+    pub fn end(self) -> BytesMut {
+        self.got
+    }
+
     /// Takes what belongs to the body; the whole of it, once it is there.
     pub fn take(&mut self, from: &mut BytesMut) -> Result<Option<BytesMut>, Bad> {
         loop {
@@ -59,6 +73,13 @@
                     }
                     self.next = if self.chunked { Next::ChunkEnd } else { Next::Done };
                 }
+                Next::ToEnd => {
+                    if from.len() > self.most - self.got.len() {
+                        return Err(Bad::LongBody);
+                    }
+                    self.got.unsplit(from.split());
+                    return Ok(None);
+                }
                 Next::Size => match line(from, LINE)? {
                     None => return Ok(None),
                     Some(text) => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -41,8 +41,6 @@
     Chunk,
     #[error("Host: expected once")]
     Host,
-    #[error("length: an answer must say how long it is")]
-    NoLength,
 }
 
 impl Bad {
