Lives of connections are explicit; ends, shutdowns, evictions and watches cross in order

An end is heard first, ahead of links in a turn, and before each attempt the client's socket is looked at (serve/attempts.rs, look_for). Now steps (ending.rs), half-closes, and reading to the end; times follow the longest deadline of the settings. - clients.rs, make_room and accepted: a connection with a request in its socket was evicted; one without room was reset. The first is passed over, the second told 503. - links.rs: a connection that came up after its node moved was written to; a reused one could bring the last answer's late copy (30 ms of rest now); reset and end were one thing. - watch.rs: SIGHUP in a pause asked nobody until the pause was over; time-outs summed to over 6 s; an answer in the socket was dropped at its time-out. - serve.rs, start: where lists are pushed nobody was asked at all (rule 3 called 9,314 times on deploy/sites/pushed, herd). Tests changed: five asks in a row now rest 40 ms each, as a connection rests behind an answer; the third call for the list is waited for, since idle connections close at the drain already.

--- /dev/null
+++ b/crates/httphost/src/ending/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+#[test]
+fn each_step_comes_in_its_order_whatever_the_deadlines_are() {
+    let s = Span::from_secs;
+    // The longest deadline; when it closes and when all is answered; the kill comes no earlier than the last.
+    for (deadline, closes, settled, killed) in [
+        (3.0, 3.2, 3.45, 3.7),
+        (5.0, 3.2, 3.45, 3.7),
+        (1.5, 1.7, 1.95, 2.2),
+        (0.4, 0.6, 0.85, 1.1),
+        (0.1, 0.45, 0.55, 0.8),
+        (0.0, 0.45, 0.45, 0.7),
+    ] {
+        let e = Ending::new(s(deadline));
+        let at = |t: f64| e.step(s(t), false);
+        assert_eq!((at(0.0), at(closes - 0.01)), (Step::Serves, Step::Serves), "{deadline}");
+        assert!(at(closes + 0.01) >= Step::Closes, "{deadline}");
+        assert!(at(settled - 0.01) < Step::Settled && at(settled + 0.01) == Step::Settled, "{deadline}");
+        assert!(at(killed - 0.12) == Step::Settled && at(killed - 0.01) == Step::Over, "{deadline}");
+        // New connections come for up to 0.4 s, and are served.
+        assert!(at(0.4) == Step::Serves && e.step(s(0.4), true) == Step::Serves, "{deadline}");
+        let mut last = Step::Serves;
+        for t in 0..500 {
+            let now = at(f64::from(t) / 100.0);
+            assert!(now >= last, "{deadline} at {t}: {now:?} after {last:?}");
+            last = now;
+        }
+    }
+    // Nobody is there: it needs not wait for whoever might have stayed.
+    assert_eq!(Ending::new(s(3.0)).step(s(0.7), true), Step::Closes);
+}
--- a/crates/httphost/src/lib.rs
+++ b/crates/httphost/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/host.md tells why there are no threads.
 
 mod clients;
+pub mod ending;
 pub mod keepers;
 mod links;
 mod poller;
--- a/crates/httphost/src/links.rs
+++ b/crates/httphost/src/links.rs
@@ -7,12 +7,15 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use tackmast::interface::{Instant, NodeId, Outcome, Span};
-use tackmast_hostcore::{LegBack, LegId, LegWork, SendLeg};
+use tackmast_hostcore::{Begin, LegBack, LegId, LegWork, SendLeg};
 use tackmast_http::{AnswerReader, Bounds};
 use tackmast_platform::{leg_head, Reports};
 
 /// Of the time after which nodes close idle connections, the part after which the host does: a request must not cross.
 const IDLE_PART: f64 = 0.8;
+/// Nothing in an answer tells whose it is, and a node that sends one twice may do so some milliseconds late: a connection
+/// rests before its next request, so that what belongs to the last one is seen to come on it unasked.
+const REST: f64 = 0.03; // seconds
 
 enum State {
     Connecting { until: Instant, leg: Box<SendLeg> },
@@ -37,6 +40,10 @@
     pub no_connection: u64,
     pub given_up: u64,
     pub waited: u64,
+    /// Something came on a connection that nothing was asked on, not even its end alone.
+    pub unasked: u64,
+    /// Came up when its time to begin was over.
+    pub too_late: u64,
 }
 
 pub struct Links {
@@ -85,7 +92,7 @@
         back: &mut Vec<LegBack>,
     ) {
         let Some(to) = to else { return back.push(ended(leg.leg, Outcome::Refused)) };
-        while let Some(id) = self.idle.take(leg.node) {
+        while let Some(id) = self.idle.take(leg.node, now, Span::from_secs(REST)) {
             let good = self.links.get(&id).is_some_and(|l| l.address == to && wire::is_quiet(&l.stream));
             if good {
                 self.counters.reused += 1;
@@ -124,8 +131,13 @@
     /// The connection stands: the leg's bytes leave, unless it was taken back.
     fn begin(&mut self, now: Instant, poller: &Poller, id: u32, leg: SendLeg, back: &mut Vec<LegBack>) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        if !leg.ticket.claim() {
+        let begin = leg.begin(now);
+        if begin != Begin::Now {
             self.by_leg.remove(&leg.leg);
+            if begin == Begin::TooLate {
+                self.counters.too_late += 1;
+                back.push(ended(leg.leg, Outcome::Refused));
+            }
             link.state = State::Idle;
             poller.change(&link.stream, Token::Link(id), READ);
             return self.idle.put(now, link.node, id);
@@ -161,6 +173,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         match &mut link.state {
             State::Idle => {
+                self.counters.unasked += u64::from(!r.ended);
                 let node = link.node;
                 self.close(node, id);
             }
@@ -191,15 +204,20 @@
         let State::Busy { leg, out, answer } = &mut link.state else { return };
         let mut piece = [0; wire::PIECE];
         let unsent = !out.is_empty();
-        match wire::read(&link.stream, &mut piece) {
+        let come = match wire::read(&link.stream, &mut piece) {
             Got::Nothing => return,
-            Got::End => {
+            // An answer that does not say how long it is ends with its connection, if that ends in order.
+            Got::End if !unsent && answer.ends_with_connection() => answer.end(),
+            Got::End | Got::Broken => {
                 self.counters.reset += u64::from(!unsent);
                 return self.end(id, if unsent { Outcome::Refused } else { Outcome::Reset }, back);
             }
-            Got::Bytes(n) => answer.push(&piece[..n]),
-        }
-        match answer.answer() {
+            Got::Bytes(n) => {
+                answer.push(&piece[..n]);
+                answer.answer()
+            }
+        };
+        match come {
             Ok(None) => {}
             Ok(Some(a)) => {
                 let (closes, more) = (a.closes, answer.has_more());
@@ -233,7 +251,9 @@
         let Some(link) = self.links.remove(&id) else { return };
         if let State::Busy { leg, .. } | State::Connecting { leg, .. } = link.state {
             self.by_leg.remove(&leg.leg);
-            back.push(ended(leg.leg, outcome));
+            if !leg.ticket.is_withdrawn() {
+                back.push(ended(leg.leg, outcome));
+            }
         }
     }
 
@@ -253,13 +273,25 @@
         }
     }
 
-    /// Nodes that are gone, or have moved, keep no idle connection.
-    pub fn keep_where(&mut self, good: impl Fn(NodeId, SocketAddr) -> bool) {
-        let idle = |(id, l): (&u32, &Link)| {
-            (matches!(l.state, State::Idle) && !good(l.node, l.address)).then_some((l.node, *id))
-        };
-        let old: Vec<_> = self.links.iter().filter_map(idle).collect();
-        old.into_iter().for_each(|(node, id)| self.close(node, id));
+    /// Nodes that want nothing new, or have moved, keep no connection that no request has begun on; what waits for one that
+    /// comes up would be written to whoever is there now.
+    pub fn keep_where(&mut self, good: impl Fn(NodeId, SocketAddr) -> bool, back: &mut Vec<LegBack>) {
+        let unused = |l: &Link| !matches!(l.state, State::Busy { .. }) && !good(l.node, l.address);
+        let old: Vec<u32> = self.links.iter().filter(|(_, l)| unused(l)).map(|(id, _)| *id).collect();
+        for id in old {
+            if let Some(l) = self.links.get(&id) {
+                self.idle.remove(l.node, id);
+            }
+            self.end(id, Outcome::Refused, back);
+        }
+    }
+
+    /// Whose request waits for this connection to come up.
+    pub fn waits_for(&self, id: u32) -> Option<u32> {
+        match &self.links.get(&id)?.state {
+            State::Connecting { leg, .. } => Some(leg.from.session),
+            _ => None,
+        }
     }
 
     /// Time has passed: connections that did not come up, and old idle ones.
--- a/crates/httphost/src/poller.rs
+++ b/crates/httphost/src/poller.rs
@@ -29,6 +29,26 @@
         EventData::new_u64(kind << 32 | u64::from(n))
     }
 
+    /// Its place in a turn.
+    fn kind(self) -> u8 {
+        match self {
+            Token::List(_) => 0,
+            Token::Signal(_) => 1,
+            Token::Link(_) => 3,
+            Token::Client(_) => 4,
+            Token::Listener => 5,
+            Token::Peers => 6,
+        }
+    }
+
+    /// The place of one that has ended.
+    fn early(self) -> u8 {
+        match self {
+            Token::Client(_) => 2,
+            other => other.kind(),
+        }
+    }
+
     fn of(data: u64) -> Self {
         let n = data as u32;
         match data >> 32 {
@@ -111,6 +131,7 @@
                 ended: has(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR),
             }
         }));
-        ready.sort_by_key(|r| r.token);
+        // Then the ends of clients: nothing may begin in this turn for one that has gone.
+        ready.sort_by_key(|r| (if r.ended { r.token.early() } else { r.token.kind() }, r.token));
     }
 }
--- a/crates/httphost/src/pool.rs
+++ b/crates/httphost/src/pool.rs
@@ -59,10 +59,12 @@
 /// A client that has just connected speaks within this.
 pub const YOUNG: f64 = 0.3; // seconds
 
-/// The client to give up for a new one: the lowest stage, in it the longest there. One that is owed an answer never goes.
-pub fn evicted(clients: impl Iterator<Item = (u32, Stage, Instant)>) -> Option<u32> {
-    let may = clients.filter(|(_, stage, _)| *stage < Stage::Busy);
-    may.min_by_key(|(id, stage, since)| (*stage, *since, *id)).map(|(id, _, _)| id)
+/// The clients that may be given up for a new one, the first to go first: the lowest stage, in it the longest there. One that is
+/// owed an answer never goes.
+pub fn by_eviction(clients: impl Iterator<Item = (u32, Stage, Instant)>) -> Vec<u32> {
+    let mut may: Vec<_> = clients.filter(|(_, stage, _)| *stage < Stage::Busy).collect();
+    may.sort_by_key(|(id, stage, since)| (*stage, *since, *id));
+    may.into_iter().map(|(id, _, _)| id).collect()
 }
 
 /// Idle connections to nodes.
@@ -78,9 +80,10 @@
         self.by_age.insert((now, node, link));
     }
 
-    /// The one used last: the others may age until they close.
-    pub fn take(&mut self, node: NodeId) -> Option<u32> {
-        let (link, since) = *self.by_node.get(&node)?.last()?;
+    /// The one used last, of those that have been idle for so long: the others may age until they close.
+    pub fn take(&mut self, node: NodeId, now: Instant, rested: Span) -> Option<u32> {
+        let rested = |(_, since): &&(u32, Instant)| now - *since >= rested;
+        let (link, since) = *self.by_node.get(&node)?.iter().rev().find(rested)?;
         self.remove_at(since, node, link);
         Some(link)
     }
@@ -122,59 +125,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn at(s: f64) -> Instant {
-        Instant::from_secs(s)
-    }
-
-    #[test]
-    fn descriptors_and_bytes_are_split_within_the_limits() {
-        const MB: usize = 1024 * 1024;
-        // Sockets, megabytes; least clients and links that must be there.
-        for (sockets, mb, clients, links) in
-            [(64, 16, 20, 12), (256, 32, 86, 80), (1024, 192, 342, 300), (4096, 2048, 1366, 600)]
-        {
-            let s = Split::of(&Limits { cores: 0.3, memory_bytes: mb * MB, sockets });
-            assert!(s.clients + s.links + OWN_SOCKETS <= sockets, "{s:?}");
-            assert!(s.clients >= clients && s.links >= links, "{sockets}: {s:?}");
-            assert!(s.bytes + s.transfers * TRANSFER_BYTES <= mb * MB / 2, "{s:?}");
-        }
-    }
-
-    #[test]
-    fn who_is_owed_least_goes_first() {
-        use Stage::*;
-        type Case = (&'static str, Vec<(u32, Stage, f64)>, Option<u32>);
-        let cases: Vec<Case> = vec![
-            ("nobody", vec![], None),
-            ("all are owed an answer", vec![(1, Busy, 0.0), (2, Busy, 1.0)], None),
-            ("over before silent", vec![(1, Silent, 0.0), (2, Over, 9.0)], Some(2)),
-            ("the longest silent", vec![(1, Silent, 5.0), (2, Silent, 4.0), (3, Idle, 0.0)], Some(2)),
-            ("idle before one that has just come", vec![(1, Young, 5.0), (2, Idle, 3.0)], Some(2)),
-            ("a flood of new ones against usual clients", vec![(1, Resting, 1.0), (2, Young, 5.0)], Some(2)),
-            ("idle before midway", vec![(1, Midway, 0.0), (2, Idle, 3.0), (3, Resting, 1.0)], Some(2)),
-            ("at a pinch one in the middle", vec![(1, Midway, 2.0), (2, Busy, 0.0)], Some(1)),
-        ];
-        for (name, clients, expected) in cases {
-            assert_eq!(evicted(clients.into_iter().map(|(c, s, t)| (c, s, at(t)))), expected, "{name}");
-        }
-    }
-
-    #[test]
-    fn the_link_used_last_is_taken_and_the_oldest_closed() {
-        let mut idle = Idle::default();
-        let (a, b) = (NodeId(1), NodeId(2));
-        for (t, node, link) in [(1.0, a, 10), (2.0, a, 11), (3.0, b, 12), (4.0, a, 13)] {
-            idle.put(at(t), node, link);
-        }
-        assert_eq!((idle.take(a), idle.take(b), idle.take(b)), (Some(13), Some(12), None));
-        assert_eq!(idle.oldest(Span::from_secs(4.5), at(5.0)), None);
-        assert_eq!(idle.oldest(Span::from_secs(4.0), at(5.0)), Some((a, 10)));
-        idle.remove(a, 10);
-        assert_eq!((idle.at(a), idle.len()), (vec![11], 1));
-        idle.remove(a, 11);
-        assert!(idle.is_empty() && idle.by_node.is_empty());
-    }
-}
+mod tests;
--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -1,6 +1,12 @@
-//! The loop.
+//! The loop. What it does with clients' requests, attempts at nodes, the node list and its own end stands in rooms of its own.
+
+mod attempts;
+mod end;
+mod listed;
+mod requests;
 
 use crate::clients::{ClientCounters, Clients, Said};
+use crate::ending::{Ending, Step};
 use crate::keepers::{self, Keepers};
 use crate::links::{LinkCounters, Links};
 use crate::poller::{Poller, Ready, Token, READ};
@@ -17,7 +23,7 @@
 use tackmast_hostcore::{
     Age, CommandRef, Core, Counters, LegBack, ListEntry, Output, Placed, PlacedSettings,
 };
-use tackmast_hostcore::{Request as Opaque, Start, Verdict};
+use tackmast_hostcore::{Request as Opaque, SendLeg, Start, Verdict};
 use tackmast_http::Request;
 use tackmast_platform::{Call, Configuration, List, Reports, Settings};
 
@@ -29,16 +35,6 @@
 const DATAGRAMS: usize = 64;
 /// Calls for the node list are at least this far apart; well within the time after which one is a new watch.
 const CALLS_APART: f64 = 0.05; // seconds
-/// After SIGTERM, while clients still come: new connections for up to 0.4 s, and requests on those they have for as long
-/// as these stay open. They have nowhere else to go until the host is back, so it serves on until shortly before it is
-/// killed. The platform does that no earlier than the longest expiry, which counts up to a bound, and some time on top.
-const STILL_COMING: f64 = 0.6; // seconds
-const LONGEST_EXPIRY: f64 = 3.0; // seconds
-const KILLED_AFTER: f64 = 0.7; // seconds, on top
-/// Ahead of that: when answers end their connections and idle ones close, and when what is still open is answered as it
-/// stands. Whatever came later than 0.7 s after SIGTERM must have its answer by then.
-const CLOSE_AHEAD: f64 = 0.5; // seconds
-const SETTLE_AHEAD: f64 = 0.25; // seconds
 /// For how long the id of a request that is over is known, and how many.
 const IDS_KEPT: f64 = 5.0; // seconds
 const MOST_IDS: usize = 4096;
@@ -93,6 +89,8 @@
     asked: Instant,
     ask_at: Option<Instant>,
     listed: bool,
+    /// The list has been asked, with whatever success.
+    heard: bool,
     orders: HashMap<u32, (Order, UnixStream)>,
     /// The id of each open request, by its connection.
     open: HashMap<u32, (u32, String)>,
@@ -105,8 +103,10 @@
     again: Vec<u32>,
     back: Vec<LegBack>,
     swept: Instant,
+    /// Since when it is told to end, by which steps, and how far it is.
     ending: Option<Instant>,
-    settled: bool,
+    ends: Ending,
+    step: Step,
     /// Those who keep what this host remembers, and whom it keeps it for.
     peers: Option<(UdpSocket, Keepers)>,
     known_again: usize,
@@ -141,7 +141,10 @@
             nodes: NODES,
             volumes: VOLUMES,
         };
-        let core = Core::placed(now, s.scheduler(now, c.seed), placed, c.seed);
+        let mut scheduler = s.scheduler(now, c.seed);
+        // Also where lists are pushed: what the platform's agent has is had by asking, from the first moment on.
+        scheduler.list_must_be_asked();
+        let core = Core::placed(now, scheduler, placed, c.seed);
         let reports = Reports::of(&s);
         let peers = match &c.peers {
             None => None,
@@ -167,6 +170,7 @@
             asked: now - Span::from_secs(CALLS_APART),
             ask_at: None,
             listed: false,
+            heard: false,
             orders: HashMap::new(),
             open: HashMap::new(),
             ids: HashSet::new(),
@@ -177,7 +181,8 @@
             back: Vec::new(),
             swept: now,
             ending: None,
-            settled: false,
+            ends: Ending::new(s.streams.iter().map(|st| st.expiry).max().unwrap_or(Span::ZERO)),
+            step: Step::Serves,
             peers,
             known_again: 0,
             settings: s,
@@ -233,7 +238,7 @@
             let now = self.clock.now();
             match r.token {
                 Token::List(number) => {
-                    let news = self.watch.ready(&self.poller, number, *r, &self.settings);
+                    let news = self.watch.ready(now, &self.poller, number, *r, &self.settings);
                     self.news(now, news);
                 }
                 Token::Signal(number) => {
@@ -242,6 +247,10 @@
                     }
                 }
                 Token::Link(id) => {
+                    // It comes up: its request must still be wanted.
+                    if let Some(client) = self.links.waits_for(id) {
+                        self.look_for(now, client);
+                    }
                     self.links.ready(now, &self.poller, id, *r, &mut self.back);
                     self.take_back(now);
                 }
@@ -305,7 +314,7 @@
                 _ = socket.send_to(&bytes, to);
             }
         }
-        let late = self.watch.tick(now);
+        let late = self.watch.tick(now, &self.settings);
         self.news(now, late);
         if self.follows && !self.watch.is_calling() && self.ask_at.is_some_and(|t| t <= now) {
             self.ask(now);
@@ -315,301 +324,6 @@
         for (id, open) in self.clients.tick(now, &self.poller) {
             self.gone(now, id, Some(open));
         }
-        if let Some(since) = self.ending {
-            let secs = (now - since).secs();
-            let expiry = self.settings.streams.iter().map(|s| s.expiry.secs()).fold(0.0, f64::max);
-            let killed = expiry.min(LONGEST_EXPIRY) + KILLED_AFTER;
-            let alone = secs >= STILL_COMING && self.clients.len() == 0;
-            if alone || secs >= killed - CLOSE_AHEAD {
-                self.listener = None;
-                self.clients.ending = true;
-                self.clients.close_idle(now);
-            }
-            if secs >= killed - SETTLE_AHEAD && !self.settled {
-                self.settled = true;
-                self.core.settle(now);
-            }
-        }
-    }
-
-    /// All that was taken has its answer, and nobody comes any more.
-    fn has_ended(&self) -> bool {
-        let (commands, _, _) = self.core.open();
-        self.listener.is_none() && commands == 0 && !self.clients.is_writing()
-    }
-
-    fn ordered(&mut self, number: u32) -> Option<Order> {
-        let (order, from) = self.orders.get_mut(&number)?;
-        let mut bytes = [0; 64];
-        match from.read(&mut bytes) {
-            Ok(n) if n > 0 => Some(*order),
-            _ => None,
-        }
-    }
-
-    fn obey(
-        &mut self,
-        now: Instant,
-        order: Order,
-        reload: &mut impl FnMut() -> Result<Configuration, String>,
-    ) {
-        match order {
-            Order::End if self.ending.is_none() => {
-                self.ending = Some(now);
-                if let Some((socket, k)) = &mut self.peers {
-                    for (to, bytes) in k.leave(self.core.paces(now)) {
-                        _ = socket.send_to(&bytes, to);
-                    }
-                }
-                tracing::info!(open = self.core.open().0, "host ends: answers what it has taken");
-            }
-            Order::End => {}
-            Order::Reload => match reload() {
-                Err(e) => tracing::error!("configuration not taken, the old one stays: {e}"),
-                Ok(c) if c.discovery == self.watch.address() => {
-                    tracing::info!("configuration read: nothing moves")
-                }
-                Ok(c) => {
-                    let (calling, last) = self.watch.moved(c.discovery, &self.settings);
-                    tracing::info!(list = %c.discovery, "configuration read: the node list moves");
-                    if let Some(News::List(from, list)) = last {
-                        self.list(now, kind(&list), from, &list);
-                    }
-                    if calling {
-                        self.ask(now);
-                    }
-                }
-            },
-        }
-    }
-
-    fn accept(&mut self, now: Instant) {
-        for _ in 0..ACCEPTS {
-            let Some(listener) = &self.listener else { return };
-            match listener.accept() {
-                Ok((stream, _)) => self.clients.accepted(now, &self.poller, stream),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => {
-                    // No descriptor is left although the split leaves some: one more gives way, or this would be tried
-                    // without end.
-                    self.clients.make_room(now);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn said(&mut self, now: Instant, id: u32, said: Option<Said>) {
-        match said {
-            None => {}
-            Some(Said::Gone(open)) => self.gone(now, id, open),
-            Some(Said::Request(r)) => self.request(now, id, r),
-        }
-    }
-
-    fn gone(&mut self, now: Instant, id: u32, open: Option<u32>) {
-        if let Some(command) = open {
-            self.forget(now, id);
-            self.core.abort(now, CommandRef { session: id, command });
-        }
-    }
-
-    /// A request is over. Its id stays used for a while: every request has a fresh one, and whoever comes with an old one
-    /// would be taken by nodes for what they have already seen.
-    fn forget(&mut self, now: Instant, id: u32) {
-        if let Some((_, name)) = self.open.remove(&id) {
-            self.used.push_back((now, name));
-        }
-        let old = |u: &mut (Instant, String)| (now - u.0).secs() > IDS_KEPT;
-        while let Some((_, name)) = self.used.pop_front_if(old) {
-            self.ids.remove(&name);
-        }
-        while self.used.len() > MOST_IDS {
-            self.used.pop_front().map(|(_, name)| self.ids.remove(&name));
-        }
-    }
-
-    fn request(&mut self, now: Instant, id: u32, r: Request) {
-        if r.method == "GET" && r.target == "/health/ready" {
-            let ready = self.ending.is_none() && self.is_ready();
-            let (status, text) = if ready { (200, "ready") } else { (503, "not ready") };
-            let said = self.clients.answer(now, &self.poller, id, status, text.as_bytes(), None);
-            self.said(now, id, said);
-            return self.may_have_more(id);
-        }
-        let call = match Call::of(r, &self.settings) {
-            Ok(call) if self.ids.contains(&call.id) => {
-                Err((409, "x-call-id: that of another request; expected a fresh one".to_owned()))
-            }
-            Ok(call) => Ok(call),
-            Err(refusal) => Err((refusal.status, refusal.why)),
-        };
-        let call = match call {
-            Ok(call) => call,
-            Err((status, why)) => {
-                self.refused += 1;
-                tracing::debug!(status, why, "request refused");
-                let said = self.clients.close_with(now, &self.poller, id, status, &why);
-                return self.said(now, id, said);
-            }
-        };
-        self.requests = self.requests.wrapping_add(1);
-        self.clients.taken(now, id, self.requests);
-        self.ids.insert(call.id.clone());
-        self.open.insert(id, (self.requests, call.id));
-        let placed = Placed {
-            volume: call.volume,
-            plan: call.plan,
-            stream: call.stream,
-            shard: call.shard,
-            key: call.key,
-            units: call.units,
-            hosts: call.hosts,
-            left: call.left,
-            request: Opaque { head: call.head, body: call.body },
-        };
-        self.core.submit_placed(now, CommandRef { session: id, command: self.requests }, placed);
-    }
-
-    fn may_have_more(&mut self, id: u32) {
-        if self.clients.has_more(id) {
-            self.again.push(id);
-        }
-    }
-
-    /// The list is known well enough to serve.
-    fn is_ready(&self) -> bool {
-        self.core.nodes().entries().any(|(_, e)| e.state == NodeState::Ready)
-    }
-
-    fn take_back(&mut self, now: Instant) {
-        for back in std::mem::take(&mut self.back) {
-            self.core.leg_back(now, back);
-        }
-    }
-
-    /// Does what the core asks, until it asks for nothing.
-    fn carry_out(&mut self) {
-        loop {
-            let now = self.clock.now();
-            while let Some(output) = self.core.next_output(now) {
-                self.output(now, output);
-            }
-            if let Some(leg) = self.links.next_waiting() {
-                if !leg.ticket.is_withdrawn() {
-                    let to = self.node_address(leg.node);
-                    self.links.send(now, &self.poller, to, leg, &mut self.back);
-                }
-                continue;
-            }
-            if self.back.is_empty() {
-                return;
-            }
-            self.take_back(now);
-        }
-    }
-
-    fn node_address(&self, node: NodeId) -> Option<SocketAddr> {
-        self.core.nodes().address(node).and_then(|a| a.parse().ok())
-    }
-
-    fn output(&mut self, now: Instant, output: Output) {
-        match output {
-            Output::Send(leg) => {
-                let to = self.node_address(leg.node);
-                self.links.send(now, &self.poller, to, *leg, &mut self.back);
-            }
-            Output::Cancel { leg, .. } | Output::Cut { leg, .. } => {
-                self.links.give_up(leg);
-                // Its connection is closed: nothing more comes of it, and it must not count as out until its time is up.
-                if self.core.is_out(leg) {
-                    let (outcome, data) = (Outcome::Cancelled, Bytes::new());
-                    self.core.leg_back(now, LegBack { leg, outcome, waiting: None, elsewhere: None, data });
-                }
-            }
-            Output::Answer { to, verdict } => {
-                let id = to.session;
-                self.forget(now, id);
-                let (status, body, come_back) = match &verdict {
-                    Verdict::Done { data } => (200, &data[..], None),
-                    Verdict::Deferred { come_back } => (503, &b"deferred"[..], *come_back),
-                    Verdict::Abandoned => (502, &b"abandoned"[..], None),
-                };
-                let said = self.clients.answer(now, &self.poller, id, status, body, come_back);
-                self.said(now, id, said);
-                self.may_have_more(id);
-            }
-            Output::FollowList { .. } | Output::FetchList => {
-                self.follows = true;
-                if !self.watch.is_calling() {
-                    self.ask(now);
-                }
-            }
-            Output::Mode { line, .. } => tracing::info!("{line}"),
-            // Neither operators' orders nor fellows are taken in here.
-            Output::Keep { .. } | Output::Reply { .. } | Output::Datagram { .. } => {}
-        }
-    }
-
-    fn ask(&mut self, now: Instant) {
-        // Against a list that answers at once without news: the calls still make one watch, and load it little.
-        let due = self.asked + Span::from_secs(CALLS_APART);
-        if due > now {
-            return self.ask_at = Some(due);
-        }
-        (self.asked, self.ask_at) = (now, None);
-        let after = self.listed.then(|| self.core.list_version());
-        let failed = self.watch.ask(now, &self.poller, after).err();
-        self.news(now, failed);
-    }
-
-    fn news(&mut self, now: Instant, news: Option<News>) {
-        match news {
-            None => {}
-            Some(News::Failed(why)) => {
-                tracing::debug!(why, "a call for the node list failed");
-                self.follows = false;
-                self.core.list_came(now, ListKind::Failed, 0, 0, &[]);
-            }
-            Some(News::List(from, list)) => {
-                self.list(now, kind(&list), from, &list);
-                if self.follows {
-                    self.ask(now);
-                }
-            }
-        }
-    }
-
-    fn list(&mut self, now: Instant, kind: ListKind, from: u64, list: &List) {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        let entries = list.members.iter().map(|m| ListEntry {
-            id: m.id.clone(),
-            address: m.address.to_string(),
-            state: m.state,
-            zone: m.zone,
-            shard: m.shard,
-            // All machines of the platform read the same clock.
-            start: m.up_since_ms.map(|ms| {
-                let age = Age::Told(Span::from_secs(wall - ms as f64 / 1e3));
-                Start { name: ms, age }
-            }),
-        });
-        let entries: Vec<ListEntry> = entries.collect();
-        self.core.list_came(now, kind, from, list.version, &entries);
-        self.listed = true;
-        let nodes = self.core.nodes();
-        self.links.keep_where(|node, address| {
-            let listed = nodes.entry(node).is_some_and(|e| e.state != NodeState::Gone);
-            listed && nodes.address(node) == Some(&address.to_string())
-        });
-    }
-}
-
-fn kind(list: &List) -> ListKind {
-    if list.complete {
-        ListKind::Complete
-    } else {
-        ListKind::Changes
+        self.end_step(now);
     }
 }
--- a/crates/httphost/src/wire.rs
+++ b/crates/httphost/src/wire.rs
@@ -1,6 +1,7 @@
 //! Nonblocking sockets: connecting, reading a bounded piece, writing what fits.
 
 use bytes::{Buf, BytesMut};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -18,10 +19,14 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Got {
     Bytes(usize),
     Nothing,
+    /// The other side has ended its sending in order.
     End,
+    /// The connection broke: what came before it may lack its rest.
+    Broken,
 }
 
 pub fn read(mut from: &TcpStream, into: &mut [u8]) -> Got {
@@ -31,7 +36,7 @@
             Ok(n) => Got::Bytes(n),
             Err(e) if e.kind() == ErrorKind::WouldBlock => Got::Nothing,
             Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            Err(_) => Got::End,
+            Err(_) => Got::Broken,
         };
     }
 }
@@ -56,3 +61,11 @@
     let mut byte = [0u8; 1];
     matches!(stream.peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
+
+/// Whether the other side has ended its sending or the connection is broken, also where bytes are unread ahead of the end.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut one = [PollFd::new(stream, ended)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut one, Some(&now)).is_ok() && one[0].revents().intersects(ended)
+}
--- a/crates/httphost/tests/nodes.rs
+++ b/crates/httphost/tests/nodes.rs
@@ -72,13 +72,17 @@
 #[test]
 fn a_connection_is_reused_unless_it_is_spoilt_or_dead() {
     let mut rig = Rig::new();
+    // A connection rests for 30 ms behind each answer.
+    let rest = || std::thread::sleep(Duration::from_millis(40));
     for _ in 0..5 {
         assert_eq!(rig.ask("once", 0).status, 200);
+        rest();
     }
     assert_eq!(rig.nodes[0].connections().0, 1, "all on one connection");
     rig.nodes[0].set(NodeFault::NoiseBehind, 1);
     for _ in 0..2 {
         assert_eq!(rig.ask("once", 0).status, 200);
+        rest();
     }
     assert_eq!(rig.nodes[0].connections().0, 2, "a new one after the noise");
     // Closed by its node while idle: never written to, so one that must not run twice is done.
--- a/crates/httphost/tests/service.rs
+++ b/crates/httphost/tests/service.rs
@@ -24,8 +24,9 @@
     rig.list.put(line("s-0", &rig.nodes[0], 0, "Gone"));
     until("idle connections to it are closed", || rig.nodes[0].connections().1 == 0);
     // The calls went on without a gap.
+    until("the calls go on", || rig.list.calls().len() >= 3);
     let calls = rig.list.calls();
-    assert!(calls.len() >= 3 && calls.iter().all(|(_, t)| t.contains("wait_ms=")), "{calls:?}");
+    assert!(calls.iter().all(|(_, t)| t.contains("wait_ms=")), "{calls:?}");
 }
 
 #[test]
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -134,6 +134,11 @@
         s
     }
 
+    /// Whether the platform brings lists to the host's machine by itself.
+    pub fn lists_are_pushed(&self) -> bool {
+        !self.asks_list
+    }
+
     /// Where a load report holds the number of transfers that wait.
     pub fn waiting_at(&self) -> Option<usize> {
         self.report.iter().position(|f| f == "q")
