--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -39,6 +39,11 @@
         self.head.is_some() || !self.buffer.is_empty()
     }
 
+    /// Bytes that have come and were not taken yet.
+    pub fn ahead(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Bytes held.
     pub fn held(&self) -> usize {
         self.buffer.capacity() + self.head.as_ref().map_or(0, |_| self.bounds.body)
--- a/crates/httphost/src/clients.rs
+++ b/crates/httphost/src/clients.rs
@@ -264,7 +264,7 @@
         let c = self.clients.get_mut(&id)?;
         if let Life::Owed(_) = c.life {
             // What comes ahead of its turn is read on, within bounds, so that an end behind it is seen.
-            if all || c.held > AHEAD {
+            if all || c.reader.ahead() > AHEAD {
                 c.closes = true;
                 self.counters.flooding += 1;
                 self.attend(poller, id);
--- a/crates/httphost/src/clients/tests.rs
+++ b/crates/httphost/src/clients/tests.rs
@@ -171,3 +171,22 @@
     rig.clients.tick(at(4.0 + LINGER), &rig.poller);
     assert!(!rig.is_there(id));
 }
+
+#[test]
+fn what_comes_ahead_of_its_turn_is_read_on_within_a_bound() {
+    let mut rig = Rig::new(3);
+    let (id, mut mine) = rig.client(1.0);
+    rig.clients.taken(at(1.0), id, 7);
+    let r = Ready { token: Token::Client(id), read: true, write: false, ended: false };
+    let (mut sent, flooding) = (0, |rig: &Rig| rig.clients.counters.flooding);
+    while flooding(&rig) == 0 {
+        assert!(rig.clients.clients[&id].interest.read, "{sent} bytes: an end behind them would not be seen");
+        mine.write_all(GET).unwrap();
+        sent += GET.len();
+        rig.until(id, false);
+        assert!(rig.clients.ready(at(1.0), &rig.poller, id, r).is_none());
+    }
+    assert!(sent > AHEAD && sent < AHEAD + 2 * GET.len(), "{sent}");
+    let c = &rig.clients.clients[&id];
+    assert!(c.closes && !c.interest.read && c.life == Life::Owed(7));
+}
--- a/crates/httphost/src/links.rs
+++ b/crates/httphost/src/links.rs
@@ -14,8 +14,9 @@
 /// Of the time after which nodes close idle connections, the part after which the host does: a request must not cross.
 const IDLE_PART: f64 = 0.8;
 /// Nothing in an answer tells whose it is, and a node that sends one twice may do so some milliseconds late: a connection
-/// rests before its next request, so that what belongs to the last one is seen to come on it unasked.
-const REST: f64 = 0.03; // seconds
+/// rests before its next request, so that what belongs to the last one is seen to come on it unasked. Copies were seen 1 to 4 ms
+/// late (nine, in three plays); a longer rest costs connections.
+const REST: f64 = 0.01; // seconds
 
 enum State {
     Connecting { until: Instant, leg: Box<SendLeg> },
@@ -173,8 +174,12 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         match &mut link.state {
             State::Idle => {
-                self.counters.unasked += u64::from(!r.ended);
                 let node = link.node;
+                if !r.ended {
+                    self.counters.unasked += 1;
+                    let rested = self.idle.since(node, id).map(|t| (now - t).secs());
+                    tracing::debug!(node = node.0, rested, "something came that nothing asked for");
+                }
                 self.close(node, id);
             }
             State::Connecting { .. } => {
--- a/crates/httphost/src/pool.rs
+++ b/crates/httphost/src/pool.rs
@@ -89,12 +89,17 @@
     }
 
     pub fn remove(&mut self, node: NodeId, link: u32) {
-        let all = self.by_node.get(&node);
-        if let Some((_, since)) = all.and_then(|v| v.iter().find(|(l, _)| *l == link)).copied() {
+        if let Some(since) = self.since(node, link) {
             self.remove_at(since, node, link);
         }
     }
 
+    /// Since when a link is idle.
+    pub fn since(&self, node: NodeId, link: u32) -> Option<Instant> {
+        let (_, since) = self.by_node.get(&node)?.iter().find(|(l, _)| *l == link)?;
+        Some(*since)
+    }
+
     fn remove_at(&mut self, since: Instant, node: NodeId, link: u32) {
         self.by_age.remove(&(since, node, link));
         if let Some(all) = self.by_node.get_mut(&node) {
--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -240,33 +240,7 @@
     ) -> bool {
         self.poller.wait(self.patience(), ready);
         for r in ready.iter() {
-            let now = self.clock.now();
-            match r.token {
-                Token::List(number) => {
-                    let news = self.watch.ready(now, &self.poller, number, *r, &self.settings);
-                    self.news(now, news);
-                }
-                Token::Signal(number) => {
-                    if let Some(order) = self.ordered(number) {
-                        self.obey(now, order, reload);
-                    }
-                }
-                Token::Link(id) => {
-                    // It comes up: its request must still be wanted.
-                    if let Some(client) = self.links.waits_for(id) {
-                        self.look_for(now, client);
-                    }
-                    self.links.ready(now, &self.poller, id, *r, &mut self.back);
-                    self.take_back(now);
-                }
-                Token::Client(id) => {
-                    let said = self.clients.ready(now, &self.poller, id, *r);
-                    self.said(now, id, said);
-                }
-                Token::Listener => self.accept(now),
-                Token::Peers => self.hear(now),
-            }
-            self.carry_out();
+            self.event(*r, reload);
         }
         let now = self.clock.now();
         // One more request of each, and no more in this turn: a client that sends many at once shares with the others.
@@ -283,6 +257,36 @@
         self.ending.is_some() && self.has_ended()
     }
 
+    fn event(&mut self, r: Ready, reload: &mut impl FnMut() -> Result<Configuration, String>) {
+        let now = self.clock.now();
+        match r.token {
+            Token::List(number) => {
+                let news = self.watch.ready(now, &self.poller, number, r, &self.settings);
+                self.news(now, news);
+            }
+            Token::Signal(number) => {
+                if let Some(order) = self.ordered(number) {
+                    self.obey(now, order, reload);
+                }
+            }
+            Token::Link(id) => {
+                // It comes up: its request must still be wanted.
+                if let Some(client) = self.links.waits_for(id) {
+                    self.look_for(now, client);
+                }
+                self.links.ready(now, &self.poller, id, r, &mut self.back);
+                self.take_back(now);
+            }
+            Token::Client(id) => {
+                let said = self.clients.ready(now, &self.poller, id, r);
+                self.said(now, id, said);
+            }
+            Token::Listener => self.accept(now),
+            Token::Peers => self.hear(now),
+        }
+        self.carry_out();
+    }
+
     fn patience(&self) -> Duration {
         if !self.again.is_empty() {
             return Duration::ZERO;
@@ -332,3 +336,6 @@
         self.end_step(now);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/httphost/tests/common/stepped.rs
+++ b/crates/httphost/tests/common/stepped.rs
@@ -79,24 +79,27 @@
 
 impl Place {
     pub fn new() -> Place {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        Place { listener, wires: Vec::new() }
+        Place::listens(1024)
     }
 
-    /// One whose connections do not come up until `comes_up`: its backlog is full. The system tries again after a second.
-    pub fn stuck() -> (Place, Vec<TcpStream>) {
+    fn listens(backlog: i32) -> Place {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        socket.listen(0).unwrap();
+        socket.listen(backlog).unwrap();
         let listener: TcpListener = socket.into();
         listener.set_nonblocking(true).unwrap();
-        let (to, mut fill) = (listener.local_addr().unwrap(), Vec::new());
+        Place { listener, wires: Vec::new() }
+    }
+
+    /// One whose connections do not come up until `comes_up`: its backlog is full. The system tries again after a second.
+    pub fn stuck() -> (Place, Vec<TcpStream>) {
+        let place = Place::listens(0);
+        let (to, mut fill) = (place.address(), Vec::new());
         while let Ok(s) = TcpStream::connect_timeout(&to, Duration::from_millis(100)) {
             fill.push(s);
             assert!(fill.len() < 16);
         }
-        (Place { listener, wires: Vec::new() }, fill)
+        (place, fill)
     }
 
     /// Takes those that filled the backlog out of it.
--- a/crates/httphost/tests/crossings.rs
+++ b/crates/httphost/tests/crossings.rs
@@ -63,7 +63,7 @@
     let (mut h, _l, mut node) = usual();
     let mut client = h.client();
     // More than the system takes for a socket that is not read: the end stands behind it at the client's side.
-    let flood: Vec<u8> = (0..100).flat_map(|_| h.request("read", 0, &"x".repeat(1000))).collect();
+    let flood: Vec<u8> = (0..140).flat_map(|_| h.request("read", 0, &"x".repeat(1000))).collect();
     let (mut said, since) = (0, Instant::now());
     while said < flood.len() {
         said += client.say(&flood[said..]);
@@ -98,14 +98,13 @@
 
 #[test]
 fn a_connection_that_comes_up_as_its_client_leaves_carries_nothing() {
-    // A burst: more come up and leave than one turn is told of.
+    // A burst: more connections come up and clients leave than one turn is told of.
     let (list_at, mut node) = (Place::new(), Place::new());
     let members: Vec<String> =
         (0..60).map(|i| member(&format!("s-{i}"), node.address(), i, "Ready")).collect();
-    let s = Settings { sockets: 1500, ..Settings::default() };
-    let mut h = Stepped::new(s, &list_at, &members);
+    let mut h = Stepped::new(Settings { sockets: 1500, ..Settings::default() }, &list_at, &members);
     let mut clients: Vec<Wire> = Vec::new();
-    while clients.len() < 300 {
+    while clients.len() < 250 {
         clients.extend((0..50).map(|_| h.client()));
         h.until("all are accepted", |h| accepted(&h.status()) == clients.len() as u64);
     }
@@ -113,13 +112,14 @@
         let text = h.request("read", i as u32 % 60, "x");
         c.say(&text);
     }
-    h.until("all are taken", |h| h.status().core.taken == 300);
-    let before = node.bytes();
-    // Whatever has not begun by now must not begin.
+    // All are taken, and their connections come up by the next turn.
+    h.turn();
+    let s = h.status();
+    assert!(s.core.taken > 200 && s.links.opened > 200 && node.bytes() == 0, "{s:?}");
     drop(clients);
     h.until("all are let go", |h| h.status().client_connections == 0);
     h.turns_for(0.1);
-    assert_eq!(node.bytes(), before, "begun before: {before} bytes");
+    assert_eq!(node.bytes(), 0);
     assert_eq!(h.status().open, (0, 0, 0));
 }
 
@@ -361,24 +361,27 @@
 }
 
 #[test]
-fn answers_are_read_to_their_end_before_the_process_is_over() {
-    let (mut h, _l, mut node) = usual();
+fn the_process_is_not_over_before_who_has_the_last_answer_has_ended() {
+    let (mut h, _l, mut node) = rig(Settings { give_up: 0.4, ..Settings::default() });
     let mut client = h.client();
-    // The first is open while more stands unread behind it.
-    let all: Vec<u8> = (0..300).flat_map(|_| h.request("once", 0, &"x".repeat(1000))).collect();
-    let mut said = 0;
-    h.until("the first is at its node", |_| {
-        said += client.say(&all[said..]);
-        node.asked() == 1
-    });
+    let text = h.request("once", 0, "x");
+    client.say(&text);
+    h.until("at its node", |_| node.asked() == 1);
     h.term();
-    h.until("it ends", |h| {
-        said += client.say(&all[said..]);
-        h.over
-    });
-    drop(h);
+    h.until("its listener is closed", |h| h.status().listens.is_none());
+    node.wires[0].say(ok("late").as_bytes());
+    h.until("answered", |_| client.hear().ends_with("late"));
+    // More of it crosses the end, and more than one turn reads: the connection takes it, and no reset loses the answer.
+    let more: Vec<u8> = (0..40).flat_map(|_| h.request("read", 0, &"x".repeat(1000))).collect();
+    client.say(&more);
+    h.turns_for(0.05);
+    client.say(&more);
     client.hear();
-    assert_eq!((client.statuses(), client.ended), (vec![502], Some(Ok(()))), "told, and no reset");
+    assert_eq!((client.statuses(), client.ended), (vec![200], Some(Ok(()))));
+    assert!(!h.over);
+    drop(client);
+    h.until("it ends", |h| h.over);
+    assert_eq!(node.asked(), 1);
 }
 
 #[test]
@@ -411,6 +414,7 @@
     h.term(); // before it was ready
     let since = Instant::now();
     h.until("it is told", |h| !h.status().serves);
+    h.turns_for(0.3);
     h.term();
     h.hup(&list_at.address().to_string(), &moved.address().to_string());
     h.until("the new place is asked", |_| moved.asked() == 1);
--- a/crates/httphost/tests/nodes.rs
+++ b/crates/httphost/tests/nodes.rs
@@ -72,8 +72,8 @@
 #[test]
 fn a_connection_is_reused_unless_it_is_spoilt_or_dead() {
     let mut rig = Rig::new();
-    // A connection rests for 30 ms behind each answer.
-    let rest = || std::thread::sleep(Duration::from_millis(40));
+    // A connection rests for 10 ms behind each answer.
+    let rest = || std::thread::sleep(Duration::from_millis(20));
     for _ in 0..5 {
         assert_eq!(rig.ask("once", 0).status, 200);
         rest();
