Cold nodes under the sum of 20 and 30 hosts: bursts, time and memory share one budget

Cause: each host's bucket for a cold node let its whole part of the safe units out at once, freed a quarter of it each window, and 0.8 of the multiple by what it remembered (src/policy.rs, cold_room): together 2.05 of what the settings allow at the tightest, before answers. Change: 0.25 out at once, 0.1 by time, 0.55 by memory; first levels by chance over a whole mean size less the part, so that hosts of parts under one transfer don't all pass at once. The test fails where each host takes the whole; three mutants found.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,8 +51,9 @@
 const TIMEOUT_SEEN: f64 = 8.0; // answers
 const PAUSE: f64 = 0.02; // seconds before a further leg
 const BLOCKED_CHECK: f64 = 0.05; // seconds until a transfer that a guard holds is looked at again
-const COLD_DRAIN: f64 = 0.25; // of the always-safe units, each window, freed by time alone
-const COLD_PART: f64 = 0.8; // of the multiple that a cold node bears
+const COLD_OUT: f64 = 0.25; // of the always-safe units, that may be out at once; with the next two under 1
+const COLD_DRAIN: f64 = 0.1; // of the same, each window, freed by time alone
+const COLD_PART: f64 = 0.55; // of the multiple that a cold node bears
 const COLD_MEMORY: f64 = 30.0; // seconds
 const COLD_PIECES: usize = 16; // of a shard, that are known again
 const COLD_SEEN_LEAST: f64 = 5.0; // seconds, before what was seen of a shard counts in full
@@ -424,7 +425,8 @@
         for e in entries {
             // By chance: else all hosts begin the rotation at one node, and all send at once to a cold one.
             let chance = f64::from(self.rng.0.rand_float());
-            let first = (chance, chance * (self.mean_units - self.cold.safe / self.hosts).max(0.0));
+            let first =
+                (chance, (chance * self.mean_units - COLD_OUT * self.cold.safe / self.hosts).max(0.0));
             let new = || Node::new(now, e, ranks, fresh.clone(), caps, CREDIT_START, first);
             let n = self.nodes.entry(e.node).or_insert_with(new);
             n.state = e.state;
@@ -760,9 +762,10 @@
             return Ok(());
         }
         let warmth = c.from + (1.0 - c.from) * (age.secs() / c.warm.secs()).max(0.0);
-        let part = c.safe / self.hosts * warmth / c.from;
+        let safe = c.safe / self.hosts * warmth / c.from;
+        let part = COLD_OUT * safe;
         let seen = self.shards.get(&n.shard).map_or(0.0, |s| s.pace.rate(now, COLD_MEMORY, COLD_SEEN_LEAST));
-        let rate = COLD_DRAIN * part / c.window.secs().max(1e-3) + COLD_PART * c.multiple * warmth * seen;
+        let rate = COLD_DRAIN * safe / c.window.secs().max(1e-3) + COLD_PART * c.multiple * warmth * seen;
         match n.cold.wait(now, rate, part, units) {
             Span::ZERO => Ok(()),
             wait => Err(now + wait.min(Span::from_secs(BLOCKED_CHECK))),
