--- a/crates/httphost/tests/crossings.rs
+++ b/crates/httphost/tests/crossings.rs
@@ -583,3 +583,86 @@
     h.hup(&old.to_string(), &back.address().to_string());
     h.until("the list is asked", |_| back.asked() == 1);
 }
+
+// Bad input on these ways.
+
+#[test]
+fn half_a_request_and_an_end_is_closed_at_once_and_reaches_nobody() {
+    let (mut h, _l, mut node) = usual();
+    let text = h.request("read", 0, "body");
+    for at in [1, 40, text.len() - 4, text.len() - 1] {
+        for reset in [false, true] {
+            let mut client = h.client();
+            client.say(&text[..at]);
+            match reset {
+                true => client.reset(),
+                false => client.end_sending(),
+            }
+            let before = accepted(&h.status());
+            h.until("closed", |h| h.status().client_connections == 0 && accepted(&h.status()) > before);
+        }
+    }
+    assert_eq!((node.bytes(), h.status().core.taken), (0, 0));
+}
+
+#[test]
+fn answers_without_end_are_cut_off_by_their_bytes_or_their_time() {
+    // More than a body holds; and a body that goes on, a byte now and then.
+    for many in [true, false] {
+        let (mut h, _l, mut node) = usual();
+        let mut client = h.client();
+        let text = h.request("once", 0, "x");
+        client.say(&text);
+        h.until("at its node", |_| node.asked() == 1);
+        node.wires[0].say(b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n");
+        let since = Instant::now();
+        h.until("answered", |_| {
+            if node.wires[0].ended.is_none() {
+                let piece: &[u8] = if many { &[b'x'; 9000] } else { b"x" };
+                _ = std::io::Write::write(&mut node.wires[0].stream, piece);
+                node.look();
+            }
+            client.heads() == 1
+        });
+        assert_eq!(client.statuses(), [502], "it may have run");
+        assert!(since.elapsed() < Duration::from_millis(1700), "{:?}", since.elapsed());
+        h.until("its connection is closed", |h| h.status().node_connections == 0);
+    }
+}
+
+#[test]
+fn a_list_without_end_is_a_failed_call_and_changes_nothing() {
+    let (mut h, mut list_at, _node) = usual();
+    h.until("asked", |_| list_at.asked() == 1);
+    let mut wire = list_at.wires.remove(0);
+    wire.say(b"HTTP/1.1 200 OK\r\n\r\n{\"revision\":9,");
+    let since = Instant::now();
+    h.until("asked again", |_| {
+        if wire.ended.is_none() {
+            _ = std::io::Write::write(&mut wire.stream, &[b' '; 60_000]);
+            wire.hear();
+        }
+        list_at.asked() == 1
+    });
+    assert!(since.elapsed() < Duration::from_millis(2000), "{:?}", since.elapsed());
+    assert_eq!((h.status().version, h.status().nodes), (1, 1));
+}
+
+#[test]
+fn ready_says_no_once_no_node_is() {
+    let (mut h, mut list_at, node) = usual();
+    let mut probe = h.client();
+    for (version, phase, expected) in
+        [(1, "", 200), (2, "Terminating", 503), (3, "Ready", 200), (4, "Gone", 503)]
+    {
+        if !phase.is_empty() {
+            h.until("asked", |_| list_at.asked() == version - 1);
+            let change = list(version as u64, false, &[member("s-0", node.address(), 0, phase)]);
+            list_at.wires[0].say(ok(&change).as_bytes());
+            h.until("told", |h| h.status().version == version as u64);
+        }
+        probe.say(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        h.until("answered", |_| probe.heads() == version);
+        assert_eq!(probe.statuses().last(), Some(&expected), "{phase}");
+    }
+}
