Orders that come while the host starts wait, and end it in order

Cause: signals were registered after the listener was bound (crates/cli/src/platform.rs, serve): a SIGTERM before that was the system's own end, without a word. Change: pipes and handlers first. Test: a configuration that is a pipe holds the start; SIGTERM in it, then the file: the host starts, ends in order, exit 0. Without the change the process is killed by the signal before it has read its file.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -17,13 +17,18 @@
 }
 
 pub fn serve() -> Result<ExitCode, String> {
-    let c = read()?;
-    let mut host = Host::start(&c)?;
+    // Before anything else: an order that comes while the host starts waits in its pipe, and must not end the process.
+    let mut orders = Vec::new();
     for (signal, order) in [(SIGTERM, Order::End), (SIGINT, Order::End), (SIGHUP, Order::Reload)] {
         let failed = |e: std::io::Error| format!("signals: {e}");
         let (ours, theirs) = UnixStream::pair().map_err(failed)?;
         signal_hook::low_level::pipe::register(signal, theirs).map_err(failed)?;
-        host.takes_orders(order, ours).map_err(failed)?;
+        orders.push((order, ours));
+    }
+    let c = read()?;
+    let mut host = Host::start(&c)?;
+    for (order, from) in orders {
+        host.takes_orders(order, from).map_err(|e| format!("signals: {e}"))?;
     }
     let limits = c.limits;
     tracing::info!(
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -101,6 +101,32 @@
     assert!(text.lines().count() <= 12, "sparse: {text}");
 }
 
+#[test]
+fn an_order_to_end_while_the_host_starts_ends_it_in_order() {
+    let (node, list) = (HttpNode::start().unwrap(), HttpList::start().unwrap());
+    let address = node.address();
+    list.holds(ListLine { id: "s-0".into(), address, shard: 0, phase: "Ready", up_since_ms: 0 });
+    // A file that is only there once it is written: until then the start waits.
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("config.json");
+    assert!(Command::new("mkfifo").arg(&file).status().unwrap().success());
+    let mut host = serve(&file);
+    let caught = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", host.id())).unwrap_or_default();
+        let mask =
+            status.lines().find_map(|l| l.strip_prefix("SigCgt:")).unwrap_or_default().trim().to_owned();
+        u64::from_str_radix(&mask, 16).unwrap_or(0) >> 14 & 1 == 1 // SIGTERM is 15
+    };
+    until("it hears orders", caught);
+    signal(&host, "-TERM");
+    std::fs::write(&file, config(SocketAddr::from(([127, 0, 0, 1], 0)), &list)).unwrap();
+    until("ends", || host.try_wait().unwrap().is_some());
+    assert!(host.wait().unwrap().success());
+    let mut text = String::new();
+    host.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+    assert!(text.contains("host serves") && text.contains("host has ended taken=0"), "{text}");
+}
+
 #[test]
 fn a_file_that_makes_no_sense_ends_the_start_with_one_line() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/httphost/src/serve/listed.rs
+++ b/crates/httphost/src/serve/listed.rs
@@ -70,7 +70,8 @@
     /// The list is to be had at this place from now on: asked at once, also where no call was on its way as the last one had
     /// failed. What counts as told some seconds from now must not wait for a pause that began before.
     pub(super) fn list_moves(&mut self, now: Instant, to: SocketAddr) {
-        tracing::info!(list = %to, "configuration read: the node list is asked there");
+        let moves = if to == self.watch.address() { "nothing moves" } else { "the node list moves" };
+        tracing::info!(list = %to, "configuration read: {moves}");
         if let Some(News::List(from, list)) = self.watch.moved(to, &self.settings) {
             self.list(now, kind(&list), from, &list);
         }
--- a/crates/httphost/src/watch.rs
+++ b/crates/httphost/src/watch.rs
@@ -69,6 +69,10 @@
         self.call.is_some()
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Asks for what came after a version, or for everything.
     pub fn ask(&mut self, now: Instant, poller: &Poller, after: Option<u64>) -> Result<(), News> {
         let failed = |e: std::io::Error| News::Failed(format!("call: {e}"));
