Attempts in place of legs in the platform's links

A rename only, in crates/httphost/src/links.rs and serve/attempts.rs: the field's word. The types of hostcore, which four other packages share, keep theirs. Tests of the package pass.

--- a/crates/httphost/src/links.rs
+++ b/crates/httphost/src/links.rs
@@ -1,4 +1,4 @@
-//! Connections to nodes: one leg at a time on each.
+//! Connections to nodes: one attempt at a time on each.
 
 use crate::poller::{Poller, Ready, Token, BOTH, READ, WRITE};
 use crate::pool::Idle;
@@ -19,8 +19,8 @@
 const REST: f64 = 0.01; // seconds
 
 enum State {
-    Connecting { until: Instant, leg: Box<SendLeg> },
-    Busy { leg: Box<SendLeg>, out: BytesMut, answer: Box<AnswerReader> },
+    Connecting { until: Instant, attempt: Box<SendLeg> },
+    Busy { attempt: Box<SendLeg>, out: BytesMut, answer: Box<AnswerReader> },
     Idle,
 }
 
@@ -50,8 +50,8 @@
 pub struct Links {
     links: BTreeMap<u32, Link>,
     idle: Idle,
-    by_leg: HashMap<LegId, u32>,
-    /// Legs without a connection, as all are in use.
+    by_attempt: HashMap<LegId, u32>,
+    /// Attempts without a connection, as all are in use.
     waiting: VecDeque<SendLeg>,
     next: u32,
     most: usize,
@@ -68,7 +68,7 @@
         Links {
             links: BTreeMap::new(),
             idle: Idle::default(),
-            by_leg: HashMap::new(),
+            by_attempt: HashMap::new(),
             waiting: VecDeque::new(),
             next: 0,
             most,
@@ -83,21 +83,21 @@
         self.links.len()
     }
 
-    /// A leg leaves for a node at its present address.
+    /// An attempt leaves for a node at its present address.
     pub fn send(
         &mut self,
         now: Instant,
         poller: &Poller,
         to: Option<SocketAddr>,
-        leg: SendLeg,
+        attempt: SendLeg,
         back: &mut Vec<LegBack>,
     ) {
-        let Some(to) = to else { return back.push(ended(leg.leg, Outcome::Refused)) };
-        while let Some(id) = self.idle.take(leg.node, now, Span::from_secs(REST)) {
+        let Some(to) = to else { return back.push(ended(attempt.leg, Outcome::Refused)) };
+        while let Some(id) = self.idle.take(attempt.node, now, Span::from_secs(REST)) {
             let good = self.links.get(&id).is_some_and(|l| l.address == to && wire::is_quiet(&l.stream));
             if good {
                 self.counters.reused += 1;
-                return self.begin(now, poller, id, leg, back);
+                return self.begin(now, poller, id, attempt, back);
             }
             self.links.remove(&id); // closed by its node while idle, or the node has moved
         }
@@ -108,62 +108,62 @@
         }
         if self.links.len() >= self.most {
             self.counters.waited += 1;
-            return self.waiting.push_back(leg);
+            return self.waiting.push_back(attempt);
         }
         let id = self.next;
         let stream = match wire::connect(to) {
             Ok(s) if poller.add(&s, Token::Link(id), WRITE).is_ok() => s,
             _ => {
                 self.counters.no_connection += 1;
-                return back.push(ended(leg.leg, Outcome::Refused));
+                return back.push(ended(attempt.leg, Outcome::Refused));
             }
         };
         self.next = self.next.wrapping_add(1);
         self.counters.opened += 1;
-        self.by_leg.insert(leg.leg, id);
-        let state = State::Connecting { until: now + self.connect, leg: Box::new(leg) };
+        self.by_attempt.insert(attempt.leg, id);
+        let state = State::Connecting { until: now + self.connect, attempt: Box::new(attempt) };
         let node = match &state {
-            State::Connecting { leg, .. } => leg.node,
+            State::Connecting { attempt, .. } => attempt.node,
             _ => return,
         };
         self.links.insert(id, Link { node, address: to, stream, state });
     }
 
-    /// The connection stands: the leg's bytes leave, unless it was taken back.
-    fn begin(&mut self, now: Instant, poller: &Poller, id: u32, leg: SendLeg, back: &mut Vec<LegBack>) {
+    /// The connection stands: the attempt's bytes leave, unless it was taken back.
+    fn begin(&mut self, now: Instant, poller: &Poller, id: u32, attempt: SendLeg, back: &mut Vec<LegBack>) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        let begin = leg.begin(now);
+        let begin = attempt.begin(now);
         if begin != Begin::Now {
-            self.by_leg.remove(&leg.leg);
+            self.by_attempt.remove(&attempt.leg);
             if begin == Begin::TooLate {
                 self.counters.too_late += 1;
-                back.push(ended(leg.leg, Outcome::Refused));
+                back.push(ended(attempt.leg, Outcome::Refused));
             }
             link.state = State::Idle;
             poller.change(&link.stream, Token::Link(id), READ);
             return self.idle.put(now, link.node, id);
         }
-        let rest = leg_head(link.address, leg.until - now);
-        let (head, body): (&[u8], &[u8]) = match &leg.work {
+        let rest = leg_head(link.address, attempt.until - now);
+        let (head, body): (&[u8], &[u8]) = match &attempt.work {
             LegWork::Request(r) => (&r.head, &r.body),
             LegWork::Write { .. } | LegWork::Read { .. } => (&[], &[]),
         };
         let mut out = BytesMut::with_capacity(head.len() + rest.len() + body.len());
         [head, rest.as_bytes(), body].iter().for_each(|part| out.extend_from_slice(part));
-        self.by_leg.insert(leg.leg, id);
+        self.by_attempt.insert(attempt.leg, id);
         let answer = Box::new(AnswerReader::new(Bounds::default()));
-        link.state = State::Busy { leg: Box::new(leg), out, answer };
+        link.state = State::Busy { attempt: Box::new(attempt), out, answer };
         self.write(poller, id, back);
     }
 
     fn write(&mut self, poller: &Poller, id: u32, back: &mut Vec<LegBack>) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        let State::Busy { leg, out, .. } = &mut link.state else { return };
+        let State::Busy { attempt, out, .. } = &mut link.state else { return };
         match wire::write(&link.stream, out) {
             // What was not written whole never ran.
             Err(_) => self.end(id, Outcome::Refused, back),
             Ok(()) if out.is_empty() => {
-                leg.ticket.written();
+                attempt.ticket.written();
                 poller.change(&link.stream, Token::Link(id), READ);
             }
             Ok(()) => poller.change(&link.stream, Token::Link(id), BOTH),
@@ -189,8 +189,8 @@
                     self.counters.no_connection += 1;
                     return self.end(id, Outcome::Refused, back);
                 }
-                if let State::Connecting { leg, .. } = std::mem::replace(&mut link.state, State::Idle) {
-                    self.begin(now, poller, id, *leg, back);
+                if let State::Connecting { attempt, .. } = std::mem::replace(&mut link.state, State::Idle) {
+                    self.begin(now, poller, id, *attempt, back);
                 }
             }
             State::Busy { .. } => {
@@ -206,7 +206,7 @@
 
     fn read(&mut self, now: Instant, id: u32, back: &mut Vec<LegBack>) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        let State::Busy { leg, out, answer } = &mut link.state else { return };
+        let State::Busy { attempt, out, answer } = &mut link.state else { return };
         let mut piece = [0; wire::PIECE];
         let unsent = !out.is_empty();
         let come = match wire::read(&link.stream, &mut piece) {
@@ -230,12 +230,12 @@
                 if unsent && came.outcome == Outcome::Done {
                     came.outcome = Outcome::Error; // it can't have been made for this request
                 }
-                let (leg_id, node) = (leg.leg, link.node);
+                let (number, node) = (attempt.leg, link.node);
                 let (outcome, waiting) = (came.outcome, came.waiting);
                 // A node that says nothing of other hosts says that there was nothing.
                 let elsewhere = Some(came.elsewhere.unwrap_or(0.0));
-                back.push(LegBack { leg: leg_id, outcome, waiting, elsewhere, data: came.body });
-                self.by_leg.remove(&leg_id);
+                back.push(LegBack { leg: number, outcome, waiting, elsewhere, data: came.body });
+                self.by_attempt.remove(&number);
                 if closes || more || unsent {
                     self.links.remove(&id);
                 } else {
@@ -251,13 +251,13 @@
         }
     }
 
-    /// The leg has its end, and its connection with it.
+    /// The attempt has its end, and its connection with it.
     fn end(&mut self, id: u32, outcome: Outcome, back: &mut Vec<LegBack>) {
         let Some(link) = self.links.remove(&id) else { return };
-        if let State::Busy { leg, .. } | State::Connecting { leg, .. } = link.state {
-            self.by_leg.remove(&leg.leg);
-            if !leg.ticket.is_withdrawn() {
-                back.push(ended(leg.leg, outcome));
+        if let State::Busy { attempt, .. } | State::Connecting { attempt, .. } = link.state {
+            self.by_attempt.remove(&attempt.leg);
+            if !attempt.ticket.is_withdrawn() {
+                back.push(ended(attempt.leg, outcome));
             }
         }
     }
@@ -267,14 +267,14 @@
         self.links.remove(&id);
     }
 
-    /// Nobody waits for this leg any more. Its connection closes: nothing that left can be called back otherwise.
-    pub fn give_up(&mut self, leg: LegId) {
-        match self.by_leg.remove(&leg) {
+    /// Nobody waits for this attempt any more. Its connection closes: nothing that left can be called back otherwise.
+    pub fn give_up(&mut self, attempt: LegId) {
+        match self.by_attempt.remove(&attempt) {
             Some(id) => {
                 self.counters.given_up += 1;
                 self.links.remove(&id);
             }
-            None => self.waiting.retain(|l| l.leg != leg),
+            None => self.waiting.retain(|l| l.leg != attempt),
         }
     }
 
@@ -294,7 +294,7 @@
     /// Whose request waits for this connection to come up.
     pub fn waits_for(&self, id: u32) -> Option<u32> {
         match &self.links.get(&id)?.state {
-            State::Connecting { leg, .. } => Some(leg.from.session),
+            State::Connecting { attempt, .. } => Some(attempt.from.session),
             _ => None,
         }
     }
@@ -312,7 +312,7 @@
         }
     }
 
-    /// The leg that has waited longest for a connection, if there is room for it now.
+    /// The attempt that has waited longest for a connection, if there is room for it now.
     pub fn next_waiting(&mut self) -> Option<SendLeg> {
         let room = self.links.len() < self.most || !self.idle.is_empty();
         if room {
--- a/crates/httphost/src/serve/attempts.rs
+++ b/crates/httphost/src/serve/attempts.rs
@@ -16,8 +16,8 @@
             while let Some(output) = self.core.next_output(now) {
                 self.output(now, output);
             }
-            if let Some(leg) = self.links.next_waiting() {
-                self.begin(now, leg);
+            if let Some(attempt) = self.links.next_waiting() {
+                self.begin(now, attempt);
                 continue;
             }
             if self.back.is_empty() {
@@ -51,13 +51,16 @@
 
     fn output(&mut self, now: Instant, output: Output) {
         match output {
-            Output::Send(leg) => self.begin(now, *leg),
-            Output::Cancel { leg, .. } | Output::Cut { leg, .. } => {
-                self.links.give_up(leg);
+            Output::Send(attempt) => self.begin(now, *attempt),
+            Output::Cancel { leg: attempt, .. } | Output::Cut { leg: attempt, .. } => {
+                self.links.give_up(attempt);
                 // Its connection is closed: nothing more comes of it, and it must not count as out until its time is up.
-                if self.core.is_out(leg) {
+                if self.core.is_out(attempt) {
                     let (outcome, data) = (Outcome::Cancelled, Bytes::new());
-                    self.core.leg_back(now, LegBack { leg, outcome, waiting: None, elsewhere: None, data });
+                    self.core.leg_back(
+                        now,
+                        LegBack { leg: attempt, outcome, waiting: None, elsewhere: None, data },
+                    );
                 }
             }
             Output::Answer { to, verdict } => {
