--- a/crates/httphost/tests/crossings.rs
+++ b/crates/httphost/tests/crossings.rs
@@ -186,7 +186,7 @@
 fn a_late_copy_of_an_answer_is_never_taken_for_the_next_requests() {
     let (mut h, _l, mut node) = usual();
     let mut client = h.client();
-    let mut asks = |h: &mut Stepped, client: &mut Wire, node: &mut Place| {
+    let asks = |h: &mut Stepped, client: &mut Wire, node: &mut Place| {
         let (text, before) = (h.request("read", 0, "x"), node.asked());
         client.say(&text);
         h.until("at its node", |_| node.asked() > before);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -86,7 +86,7 @@
     fn step(&mut self, c: Case) {
         const STEP: f64 = 0.005;
         self.now += STEP;
-        let weight = |i: usize| if c.unequal && i % 5 == 0 { 6.0 } else { 1.0 };
+        let weight = |i: usize| if c.unequal && i.is_multiple_of(5) { 6.0 } else { 1.0 };
         let all: f64 = (0..self.desks.len()).map(weight).sum();
         for i in 0..self.desks.len() {
             let d = &mut self.desks[i];
@@ -146,7 +146,7 @@
                 let mut d = Desk::of(self.rng.rand_u64(), c.told, Effect::Repeatable, false);
                 d.s.cold_nodes(c.safe, FROM, secs(WARM), secs(WINDOW), MULTIPLE);
                 d.now = self.now;
-                if i % 2 == 0 {
+                if i.is_multiple_of(2) {
                     let at = d.at();
                     old.into_iter().for_each(|(shard, rate)| d.s.pace_known(at, shard, rate));
                 }
