A request behind an answer waits the 10 ms for its connection instead of opening another

Change: where a node has a connection that only has to rest, the attempt waits for it, once, and no other is opened; what became of its client, node and time is asked again when it leaves. Tests: the late copy, the wait that opens no other, a client that leaves within it.

--- a/crates/httphost/src/links.rs
+++ b/crates/httphost/src/links.rs
@@ -53,6 +53,8 @@
     by_attempt: HashMap<LegId, u32>,
     /// Attempts without a connection, as all are in use.
     waiting: VecDeque<SendLeg>,
+    /// Attempts that wait until a connection to their node has rested, and until when.
+    resting: Vec<(Instant, SendLeg)>,
     next: u32,
     most: usize,
     connect: Span,
@@ -70,6 +72,7 @@
             idle: Idle::default(),
             by_attempt: HashMap::new(),
             waiting: VecDeque::new(),
+            resting: Vec::new(),
             next: 0,
             most,
             connect,
@@ -83,13 +86,14 @@
         self.links.len()
     }
 
-    /// An attempt leaves for a node at its present address.
+    /// An attempt leaves for a node at its present address. One that has waited for a connection to rest does so once: others must
+    /// not take it before its eyes again and again.
     pub fn send(
         &mut self,
         now: Instant,
         poller: &Poller,
         to: Option<SocketAddr>,
-        attempt: SendLeg,
+        (attempt, has_waited): (SendLeg, bool),
         back: &mut Vec<LegBack>,
     ) {
         let Some(to) = to else { return back.push(ended(attempt.leg, Outcome::Refused)) };
@@ -101,6 +105,13 @@
             }
             self.links.remove(&id); // closed by its node while idle, or the node has moved
         }
+        // Some milliseconds cost less than a new connection, to this host's client as to the node.
+        let rest = Span::from_secs(REST);
+        let ahead = self.resting.iter().filter(|(_, a)| a.node == attempt.node).count();
+        let until = self.idle.rested_at(attempt.node, now, rest, ahead).filter(|_| !has_waited);
+        if let Some(until) = until {
+            return self.resting.push((until, attempt));
+        }
         if self.links.len() >= self.most {
             if let Some((node, id)) = self.idle.oldest(Span::ZERO, now) {
                 self.close(node, id);
@@ -274,7 +285,10 @@
                 self.counters.given_up += 1;
                 self.links.remove(&id);
             }
-            None => self.waiting.retain(|l| l.leg != attempt),
+            None => {
+                self.waiting.retain(|l| l.leg != attempt);
+                self.resting.retain(|(_, l)| l.leg != attempt);
+            }
         }
     }
 
@@ -312,6 +326,17 @@
         }
     }
 
+    /// When the next connection that an attempt waits for has rested.
+    pub fn next_rested(&self) -> Option<Instant> {
+        self.resting.iter().map(|(until, _)| *until).min()
+    }
+
+    /// An attempt whose connection has rested by now.
+    pub fn rested(&mut self, now: Instant) -> Option<SendLeg> {
+        let at = self.resting.iter().position(|(until, _)| *until <= now)?;
+        Some(self.resting.remove(at).1)
+    }
+
     /// The attempt that has waited longest for a connection, if there is room for it now.
     pub fn next_waiting(&mut self) -> Option<SendLeg> {
         let room = self.links.len() < self.most || !self.idle.is_empty();
--- a/crates/httphost/src/pool.rs
+++ b/crates/httphost/src/pool.rs
@@ -88,6 +88,14 @@
         Some(link)
     }
 
+    /// When one more of a node's links has been idle for `rested`, after `before` others have: if it has so many that are not yet.
+    pub fn rested_at(&self, node: NodeId, now: Instant, rested: Span, before: usize) -> Option<Instant> {
+        let mut young: Vec<Instant> =
+            self.by_node.get(&node)?.iter().map(|(_, t)| *t + rested).filter(|t| *t > now).collect();
+        young.sort();
+        young.get(before).copied()
+    }
+
     pub fn remove(&mut self, node: NodeId, link: u32) {
         if let Some(since) = self.since(node, link) {
             self.remove_at(since, node, link);
--- a/crates/httphost/src/pool/tests.rs
+++ b/crates/httphost/src/pool/tests.rs
@@ -51,6 +51,10 @@
     // A second answer may come behind the first: one that has only just had its answer is not taken yet.
     let (mut idle, rest) = (filled(), Span::from_secs(1.5));
     assert_eq!((idle.take(a, at(4.4), rest), idle.take(b, at(4.4), rest)), (Some(11), None));
+    // When the next of a's three will have rested, and the one after that; all have by 5.5.
+    let next = |now, before| filled().rested_at(a, at(now), rest, before);
+    assert_eq!((next(3.2, 0), next(3.2, 1), next(3.2, 2)), (Some(at(3.5)), Some(at(5.5)), None));
+    assert_eq!((next(5.5, 0), filled().rested_at(NodeId(9), at(0.0), rest, 0)), (None, None));
     let mut idle = filled();
     let mut take = |node| idle.take(node, at(5.5), rest);
     assert_eq!((take(a), take(b), take(b)), (Some(13), Some(12), None));
--- a/crates/httphost/src/serve.rs
+++ b/crates/httphost/src/serve.rs
@@ -293,7 +293,8 @@
         }
         let now = self.clock.now();
         let sweep = (self.swept - now).secs() + SWEEP;
-        let wake = self.core.next_wake(now).map_or(SWEEP, |t| (t - now).secs());
+        let wakes = [self.core.next_wake(now), self.links.next_rested()];
+        let wake = wakes.into_iter().flatten().min().map_or(SWEEP, |t| (t - now).secs());
         Duration::from_secs_f64(sweep.min(wake).max(0.0))
     }
 
--- a/crates/httphost/src/serve/attempts.rs
+++ b/crates/httphost/src/serve/attempts.rs
@@ -16,8 +16,9 @@
             while let Some(output) = self.core.next_output(now) {
                 self.output(now, output);
             }
-            if let Some(attempt) = self.links.next_waiting() {
-                self.begin(now, attempt);
+            let rested = self.links.rested(now).map(|a| (a, true));
+            if let Some(next) = rested.or_else(|| self.links.next_waiting().map(|a| (a, false))) {
+                self.begin(now, next);
                 continue;
             }
             if self.back.is_empty() {
@@ -28,11 +29,11 @@
     }
 
     /// An attempt leaves for its node, unless it is not wanted any more.
-    fn begin(&mut self, now: Instant, attempt: SendLeg) {
+    fn begin(&mut self, now: Instant, (attempt, has_waited): (SendLeg, bool)) {
         self.look_for(now, attempt.from.session);
         if !attempt.ticket.is_withdrawn() {
             let to = self.node_address(attempt.node);
-            self.links.send(now, &self.poller, to, attempt, &mut self.back);
+            self.links.send(now, &self.poller, to, (attempt, has_waited), &mut self.back);
         }
     }
 
@@ -51,7 +52,7 @@
 
     fn output(&mut self, now: Instant, output: Output) {
         match output {
-            Output::Send(attempt) => self.begin(now, *attempt),
+            Output::Send(attempt) => self.begin(now, (*attempt, false)),
             Output::Cancel { leg: attempt, .. } | Output::Cut { leg: attempt, .. } => {
                 self.links.give_up(attempt);
                 // Its connection is closed: nothing more comes of it, and it must not count as out until its time is up.
--- a/crates/httphost/tests/crossings.rs
+++ b/crates/httphost/tests/crossings.rs
@@ -182,34 +182,68 @@
 
 // Connections to nodes.
 
+/// The node's first answer, and behind it at once the next request, which waits for the connection to rest. On a busy machine it
+/// may have rested by then: again, then. Gives how many answers the client has.
+fn waits_for_rest(h: &mut Stepped, client: &mut Wire, node: &mut Place) -> usize {
+    for answered in 1..100 {
+        if answered == 1 {
+            let text = h.request("read", 0, "x");
+            client.say(&text);
+        }
+        h.until("at its node", |_| node.asked() == answered);
+        node.wires[0].say(ok("first").as_bytes());
+        h.until("answered", |_| client.heads() == answered);
+        let (text, taken) = (h.request("read", 0, "x"), h.status().core.taken);
+        client.say(&text);
+        h.until("taken", |h| h.status().core.taken > taken);
+        if node.asked() == answered {
+            return answered;
+        }
+    }
+    panic!("the connection is taken with no rest");
+}
+
 #[test]
 fn a_late_copy_of_an_answer_is_never_taken_for_the_next_requests() {
     let (mut h, _l, mut node) = usual();
     let mut client = h.client();
-    let asks = |h: &mut Stepped, client: &mut Wire, node: &mut Place| {
-        let (text, before) = (h.request("read", 0, "x"), node.asked());
-        client.say(&text);
-        h.until("at its node", |_| node.asked() > before);
-    };
-    // The next request leaves at once behind an answer. On a busy machine that may be later than the connection rests: again, then.
-    let mut answered = 0;
-    while node.wires.len() < 2 {
-        asks(&mut h, &mut client, &mut node);
-        if node.wires.len() < 2 {
-            node.wires[0].say(ok("first").as_bytes());
-            answered += 1;
-            h.until("answered", |_| client.heads() == answered);
-            assert!(answered < 100, "the connection is taken with no rest");
-        }
-    }
-    // Then the copy comes, and then its own answer, where it was asked.
+    let answered = waits_for_rest(&mut h, &mut client, &mut node);
+    // The copy comes: its connection is of no further use, and the request goes on another.
     node.wires[0].say(ok("first").as_bytes());
-    h.until("the spoilt connection is closed", |h| h.status().links.unasked == 1);
+    h.until("at its node", |_| node.asked() == answered + 1);
+    assert_eq!((node.wires.len(), h.status().links.unasked), (2, 1));
     node.wires[1].say(ok("second").as_bytes());
     h.until("answered", |_| client.heads() == answered + 1);
     assert!(client.hear().ends_with("second"), "{}", client.hear());
 }
 
+#[test]
+fn behind_an_answer_the_next_request_waits_for_its_connection_and_opens_no_other() {
+    let (mut h, _l, mut node) = usual();
+    let mut client = h.client();
+    let answered = waits_for_rest(&mut h, &mut client, &mut node);
+    h.until("at its node", |_| node.asked() == answered + 1);
+    node.wires[0].say(ok("second").as_bytes());
+    h.until("answered", |_| client.heads() == answered + 1);
+    assert_eq!((node.wires.len(), h.status().links.opened), (1, 1));
+    // A client that leaves while its request waits so: nothing is sent.
+    let mut client = h.client();
+    let text = h.request("read", 0, "x");
+    client.say(&text);
+    h.until("at its node", |_| node.asked() == answered + 2);
+    node.wires[0].say(ok("third").as_bytes());
+    h.until("answered", |_| client.heads() == 1);
+    let (text, taken) = (h.request("read", 0, "x"), h.status().core.taken);
+    client.say(&text);
+    h.until("taken", |h| h.status().core.taken > taken);
+    let before = node.asked();
+    drop(client);
+    std::thread::sleep(Duration::from_millis(30)); // it has rested: that and the client's end come in one turn
+    h.until("let go", |h| h.status().client_connections == 1);
+    h.turns_for(0.05);
+    assert_eq!((node.asked(), h.status().open), (before, (0, 0, 0)));
+}
+
 #[test]
 fn a_reset_is_no_end_of_an_answer_without_a_length() {
     for (in_order, class, expected) in [
