--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,9 +51,10 @@
 const TIMEOUT_SEEN: f64 = 8.0; // answers
 const PAUSE: f64 = 0.02; // seconds before a further leg
 const BLOCKED_CHECK: f64 = 0.05; // seconds until a transfer that a guard holds is looked at again
-const COLD_OUT: f64 = 0.25; // of the always-safe units, that may be out at once; with the next two under 1
-const COLD_DRAIN: f64 = 0.1; // of the same, each window, freed by time alone
-const COLD_PART: f64 = 0.55; // of the multiple that a cold node bears
+const COLD_CHANCE: f64 = 0.8; // of what goes for chance where all hosts together send to a cold node
+const COLD_OUT: f64 = 0.3; // of the sum that they may send: of the always-safe units, those out at once,
+const COLD_DRAIN: f64 = 0.1; // those that time alone frees each window, and
+const COLD_PART: f64 = 0.6; // of the multiple that a cold node bears
 const COLD_MEMORY: f64 = 30.0; // seconds
 const COLD_PIECES: usize = 16; // of a shard, that are known again
 const COLD_SEEN_LEAST: f64 = 5.0; // seconds, before what was seen of a shard counts in full
@@ -139,7 +140,10 @@
     /// `safe` units within `window` from all hosts never hurt a node that starts at part `from` of its
     /// capacity and is warm after `warm`; nor does `multiple` times what it can do at the moment.
     pub fn cold_nodes(&mut self, safe: f64, from: f64, warm: Span, window: Span, multiple: f64) {
-        self.cold = Cold { safe, from: from.clamp(0.01, 1.0), warm, window, multiple };
+        let n = (safe / self.mean_units).max(1.0);
+        let sum = 1.0 - 1.0 / multiple.max(1.0) + COLD_CHANCE * (2.0 * n.sqrt() + 2.0) / n;
+        let (safe, multiple, from) = (safe * sum, multiple * sum, from.clamp(0.01, 1.0));
+        self.cold = Cold { safe, from, warm, window, multiple };
     }
 
     /// Nodes may save up to this part of the work for a piece of data that they have at hand; 0 until told.
@@ -763,10 +767,9 @@
         }
         let warmth = c.from + (1.0 - c.from) * (age.secs() / c.warm.secs()).max(0.0);
         let safe = c.safe / self.hosts * warmth / c.from;
-        let part = COLD_OUT * safe;
         let seen = self.shards.get(&n.shard).map_or(0.0, |s| s.pace.rate(now, COLD_MEMORY, COLD_SEEN_LEAST));
         let rate = COLD_DRAIN * safe / c.window.secs().max(1e-3) + COLD_PART * c.multiple * warmth * seen;
-        match n.cold.wait(now, rate, part, units) {
+        match n.cold.wait(now, rate, COLD_OUT * safe, units) {
             Span::ZERO => Ok(()),
             wait => Err(now + wait.min(Span::from_secs(BLOCKED_CHECK))),
         }
