--- a/review/standins/gone_client.rs
+++ b/review/standins/gone_client.rs
@@ -63,11 +63,11 @@
                 .request()
             })
             .collect();
+        let bytes: Vec<u8> = requests.iter().flat_map(|request| request.bytes.clone()).collect();
         let began = Instant::now();
         let Ok(mut stream) = TcpStream::connect(hosts[(number % 2) as usize]) else { give_up("a host refuses") };
         _ = stream.set_nodelay(true);
         _ = stream.set_nonblocking(true);
-        let bytes: Vec<u8> = requests.iter().flat_map(|request| request.bytes.clone()).collect();
         record.add(format!("bad client {number} sends {at_once} requests, {} bytes, the first {}", bytes.len(), requests[0].id));
         let mut sent = 0;
         while sent < bytes.len() && began.elapsed() < Duration::from_millis(40) {
