Bound the rejected requests that a host keeps and searches

Cause: rejected requests that asked for the same were kept in one queue without a bound for 10 s. original_objective searched all of it at each arrival, and expire went through all of it for each expired request, which is quadratic in the number of rejections.

Change: an expiry takes from the front of the queue only, at most 512 requests that asked for the same are kept and searched, and 8,192 in all.

The new test failed before: "same requests: true: 20000 rejected requests are kept".

--- a/src/policy/retention.rs
+++ b/src/policy/retention.rs
@@ -4,6 +4,11 @@
 
 /// How long a rejected request is kept, so that the client's retry of it is recognised.
 pub const REJECTED_REQUEST_RETENTION: TimeDelta = TimeDelta::from_millis(10_000);
+/// The number of rejected requests that are kept; beyond it the oldest is forgotten.
+pub const MAX_REJECTED_REQUESTS: usize = 8192;
+/// The number of rejected requests that asked for the same and are kept. It bounds the work of an arrival, which searches
+/// them.
+pub const MAX_REJECTED_REPEATS: usize = 512;
 /// How long removed nodes and idle volumes are kept. It is longer than any request waits, so they can be dropped
 /// afterwards.
 pub const IDLE_RETENTION: TimeDelta = TimeDelta::from_millis(30_000);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -130,6 +130,11 @@
         self.volumes.len()
     }
 
+    /// Returns the number of rejected or failed requests that are kept to recognize requests that clients send again.
+    pub fn rejected_request_count(&self) -> usize {
+        self.rejected_requests.len()
+    }
+
     fn class(&self, id: TrafficClassId) -> &TrafficClass {
         &self.settings.classes[id.0 as usize]
     }
--- a/src/scheduler/rejected_requests.rs
+++ b/src/scheduler/rejected_requests.rs
@@ -2,6 +2,7 @@
 
 use super::request::Request;
 use crate::interface::{Instant, KeyId, ShardId, TimeDelta, TrafficClassId, VolumeId};
+use crate::policy::retention::{MAX_REJECTED_REPEATS, MAX_REJECTED_REQUESTS};
 use std::collections::{HashMap, VecDeque};
 
 /// What a request asks for. A client that sends a rejected request again asks for the same.
@@ -37,18 +38,30 @@
     }
 }
 
-/// The requests that were rejected or failed lately (`REJECTED_REQUEST_RETENTION`).
+/// The requests that were rejected or failed lately (`REJECTED_REQUEST_RETENTION`), the last `MAX_REJECTED_REQUESTS` of
+/// them, and of those that asked for the same the last `MAX_REJECTED_REPEATS`.
 #[derive(Default)]
 pub struct RejectedRequests {
+    /// The requests that asked for the same, in the order in which they expire.
     by_fingerprint: HashMap<RequestFingerprint, VecDeque<RejectedRequest>>,
+    /// An entry for each insertion, in the order in which they expire. The request may have been removed before.
     expiries: VecDeque<(Instant, RequestFingerprint)>,
 }
 
 impl RejectedRequests {
-    /// Adds a request that got its final answer without being done.
+    /// Adds a request that got its final answer without being done. Requests must be added in the order in which they
+    /// expire.
     pub fn insert(&mut self, fingerprint: RequestFingerprint, rejected: RejectedRequest) {
         self.expiries.push_back((rejected.expires_at, fingerprint));
-        self.by_fingerprint.entry(fingerprint).or_default().push_back(rejected);
+        let same_requests = self.by_fingerprint.entry(fingerprint).or_default();
+        same_requests.push_back(rejected);
+        // A client that repeats a request whenever it is rejected would make each search of this queue longer.
+        if same_requests.len() > MAX_REJECTED_REPEATS {
+            same_requests.pop_front();
+        }
+        if self.expiries.len() > MAX_REJECTED_REQUESTS {
+            self.remove_oldest();
+        }
     }
 
     /// Returns the end of the latency objective of the earlier request that this one repeats, and removes that request.
@@ -66,12 +79,24 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        while let Some((_, expired)) = self.expiries.pop_front_if(|(expires_at, _)| *expires_at <= now) {
-            let Some(same_requests) = self.by_fingerprint.get_mut(&expired) else { continue };
-            same_requests.retain(|rejected| rejected.expires_at > now);
-            if same_requests.is_empty() {
-                self.by_fingerprint.remove(&expired);
-            }
+        while self.expiries.front().is_some_and(|(expires_at, _)| *expires_at <= now) {
+            self.remove_oldest();
         }
     }
+
+    /// Removes the oldest entry of `expiries`, and its request if that is still there. The work does not depend on the
+    /// number of requests that asked for the same: they are in the order in which they expire.
+    fn remove_oldest(&mut self) {
+        let Some((expires_at, fingerprint)) = self.expiries.pop_front() else { return };
+        let Some(same_requests) = self.by_fingerprint.get_mut(&fingerprint) else { return };
+        while same_requests.pop_front_if(|rejected| rejected.expires_at <= expires_at).is_some() {}
+        if same_requests.is_empty() {
+            self.by_fingerprint.remove(&fingerprint);
+        }
+    }
+
+    /// Returns the number of requests that are kept.
+    pub fn len(&self) -> usize {
+        self.by_fingerprint.values().map(VecDeque::len).sum()
+    }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -324,6 +324,27 @@
     }
 }
 
+/// Clients repeat a request whenever it is rejected, at full speed. If the host kept or searched all of these requests, it
+/// would stop for seconds, and other clients would lose theirs.
+#[test]
+fn clients_that_repeat_rejected_requests_do_not_grow_the_work_of_an_arrival() {
+    // Whether all clients ask for the same; the number of rejected requests that may be kept.
+    for (same, max_kept) in [(true, 512), (false, 8192)] {
+        let mut host = TestHost::new(1, Effect::Idempotent, false);
+        host.time_left = 0.003;
+        for i in 0..20_000 {
+            host.submit(0, 2, 0, 1.0, 0, if same { 0 } else { i });
+            let end = host.now + 0.0004;
+            host.run_until(end);
+        }
+        let kept = host.scheduler.rejected_request_count();
+        assert!(kept <= max_kept, "same requests: {same}: {kept} rejected requests are kept");
+        host.now += 11.0;
+        host.submit(0, 2, 0, 1.0, 0, 0);
+        assert_eq!(host.scheduler.rejected_request_count(), 0, "same requests: {same}");
+    }
+}
+
 /// New objects may go to any node. They are spread by the nodes' speed, hosts that start at the same time begin at
 /// different nodes, and a draining node gets none.
 #[test]
