Read what clients send behind an open request without end, to see their close

Cause: beyond 128 KiB of pipelined bytes bound_pipelining stopped reading. The client's FIN stayed behind the unread bytes, so neither epoll nor has_disconnected reported it. The same held for any bytes behind a request with Connection: close. A host that had been paused dispatched a first request at once although the close was behind it.

Change: a connection with an open request is always read, at most 64 KiB in one iteration, and bytes beyond the bound are discarded. Before a request is accepted, the host reads up to the close, 16 MiB at most.

pipelined_bytes_are_read_ahead_within_a_bound demanded that reading stops at the bound, which is the fault. Its replacement demands that reading goes on, that nothing is left unread and that nothing beyond the same bound is kept.

--- a/crates/platform-host/src/client_connection.rs
+++ b/crates/platform-host/src/client_connection.rs
@@ -22,7 +22,7 @@
 pub(crate) const LINGER_TIMEOUT: TimeDelta = TimeDelta::from_millis(500);
 /// Maximum number of bytes that are read and discarded after the last answer; beyond it the connection is closed.
 pub(crate) const MAX_LINGER_BYTES: usize = 256 * 1024;
-/// Maximum number of bytes that are read ahead while a request of the connection is in flight.
+/// Maximum number of bytes that are read ahead and kept while a request of the connection is in flight. Further bytes are discarded.
 pub(crate) const MAX_PIPELINED_BYTES: usize = 128 * 1024;
 
 /// The state of a connection. It alternates between `Reading` and `AwaitingResponse`; from either it changes to `Closing`, then to
@@ -146,6 +146,12 @@
         self.reader.buffered_len() > MAX_PIPELINED_BYTES
     }
 
+    /// Makes the next answer the last one, and drops the bytes that were read ahead, as no further request is accepted.
+    pub(crate) fn close_after_answer(&mut self) {
+        self.closes = true;
+        self.reader = RequestReader::new(Limits::default());
+    }
+
     /// Returns whether no request is open and no answer is being written.
     pub(crate) fn awaits_request(&self) -> bool {
         self.state == ConnectionState::Reading && self.outgoing.is_empty()
@@ -168,9 +174,8 @@
             // the previous answer is written.
             ConnectionState::Reading if !self.outgoing.is_empty() => WRITE,
             ConnectionState::Reading | ConnectionState::HalfClosed => READ,
-            ConnectionState::AwaitingResponse(_) => {
-                Interest { read: !self.closes, write: !self.outgoing.is_empty() }
-            }
+            // Reading never stops while a request is open: the close of the client may be behind any number of bytes.
+            ConnectionState::AwaitingResponse(_) => Interest { read: true, write: !self.outgoing.is_empty() },
             ConnectionState::Closing => BOTH,
         }
     }
--- a/crates/platform-host/src/client_connections.rs
+++ b/crates/platform-host/src/client_connections.rs
@@ -13,10 +13,14 @@
 use tackmast_http::Request;
 use tackmast_platform::answer_head;
 
-/// Share of the buffer memory that may be in use before connections are no longer read ahead.
+/// Share of the buffer memory that may be in use before bytes that are read ahead are no longer kept.
 const PIPELINED_BYTES_SHARE: f64 = 0.5;
 /// One in this many connections is reserved as a rejection slot, which answers a client without capacity with 503.
 const CONNECTIONS_PER_REJECTION_SLOT: usize = 8;
+/// Maximum number of bytes that are read ahead on a connection in one iteration while its request is in flight.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes that are read behind a request before it is accepted; more than the socket buffers of both sides hold.
+const MAX_ACCEPT_READ_AHEAD_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum number of rejection slots.
 const MAX_REJECTION_SLOTS: usize = 16;
 
@@ -41,7 +45,7 @@
     pub bad: u64,
     /// Requests that were not complete in time.
     pub too_slow: u64,
-    /// Connections on which a client pipelined more than the host reads ahead.
+    /// Connections on which a client pipelined more than the host keeps.
     pub pipelined_too_much: u64,
 }
 
@@ -184,9 +188,12 @@
         self.read(now, poller, id)
     }
 
-    /// Reads one chunk from a connection.
+    /// Reads one chunk from a connection, or more while a request is open.
     fn read(&mut self, now: Instant, poller: &Poller, id: u32) -> Option<ClientEvent> {
         let client = self.clients.get_mut(&id)?;
+        if let ConnectionState::AwaitingResponse(_) = client.state {
+            return self.read_ahead(id, MAX_READ_AHEAD_BYTES);
+        }
         let mut chunk = [0; sockets::READ_CHUNK_BYTES];
         match sockets::read(&client.stream, &mut chunk) {
             ReadOutcome::Nothing => return None,
@@ -197,25 +204,39 @@
             ReadOutcome::Bytes(len) => client.push_bytes(now, &chunk[..len]),
         }
         self.update_buffered_bytes(id);
-        let client = self.clients.get(&id)?;
-        if let ConnectionState::AwaitingResponse(_) = client.state {
-            self.bound_pipelining(poller, id);
-            return None;
-        }
         self.next_request(now, poller, id)
     }
 
-    /// Stops reading ahead on a connection whose request is in flight once its buffer, or all buffers together, exceed a limit. Within the
-    /// limit the host reads ahead, because it detects a close only after the bytes before it. Beyond the limit the open request is
-    /// answered, and no further one is accepted.
-    fn bound_pipelining(&mut self, poller: &Poller, id: u32) {
+    /// Reads what a client has sent behind a request that is open or about to be accepted, until nothing is left or `max_bytes` are read.
+    /// A close is detected only after the bytes before it: if reading stopped, the close could stay behind them until the request is sent.
+    fn read_ahead(&mut self, id: u32, max_bytes: usize) -> Option<ClientEvent> {
+        let mut chunk = [0; sockets::READ_CHUNK_BYTES];
+        let mut read_bytes = 0;
+        while read_bytes < max_bytes {
+            match sockets::read(&self.clients.get(&id)?.stream, &mut chunk) {
+                ReadOutcome::Nothing => return None,
+                ReadOutcome::End | ReadOutcome::Failed => return Some(self.handle_disconnect(id)),
+                ReadOutcome::Bytes(len) => {
+                    read_bytes += len;
+                    self.keep_pipelined(id, &chunk[..len]);
+                }
+            }
+        }
+        None
+    }
+
+    /// Keeps bytes that were read ahead. Once the connection's buffer, or all buffers together, exceed a limit, the open request is the last
+    /// one of its connection, and these bytes and all further ones are discarded.
+    fn keep_pipelined(&mut self, id: u32, bytes: &[u8]) {
+        let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closes) else { return };
+        client.reader.push(bytes);
+        let has_pipelined_too_much = client.has_pipelined_too_much();
+        self.update_buffered_bytes(id);
         let pipelined_bytes_bound = self.max_buffered_bytes as f64 * PIPELINED_BYTES_SHARE;
-        let all_hold_too_much = self.buffered_bytes as f64 > pipelined_bytes_bound;
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        if all_hold_too_much || client.has_pipelined_too_much() {
-            client.closes = true;
+        if has_pipelined_too_much || self.buffered_bytes as f64 > pipelined_bytes_bound {
             self.counters.pipelined_too_much += 1;
-            self.update_interest(poller, id);
+            self.clients.entry(id).and_modify(ClientConnection::close_after_answer);
+            self.update_buffered_bytes(id);
         }
     }
 
@@ -238,7 +259,9 @@
         match next {
             Ok(Some(request)) => {
                 self.clients.get_mut(&id)?.closes = request.closes;
-                Some(ClientEvent::Request(request))
+                // The client may have closed the connection long ago, behind bytes that the host could not read until now.
+                let disconnected = self.read_ahead(id, MAX_ACCEPT_READ_AHEAD_BYTES);
+                disconnected.or(Some(ClientEvent::Request(request)))
             }
             Ok(None) if self.buffered_bytes > self.max_buffered_bytes => {
                 self.counters.rejected += 1;
--- a/crates/platform-host/src/client_connections/tests.rs
+++ b/crates/platform-host/src/client_connections/tests.rs
@@ -207,28 +207,34 @@
     assert!(!fixture.contains(id));
 }
 
-/// A client pipelines while its request is open. The host must read ahead to detect a close behind these bytes, but only up to a bound,
-/// or its memory would grow.
+/// A client pipelines without end while its request is open. The host must read all bytes, as a close behind them would not be seen
+/// otherwise, but must keep them only up to a bound, or its memory would grow.
 #[test]
-fn pipelined_bytes_are_read_ahead_within_a_bound() {
+fn pipelined_bytes_are_read_ahead_and_kept_within_a_bound() {
     let mut fixture = Fixture::new(3);
     let (id, mut client) = fixture.client(1.0);
     fixture.clients.request_accepted(at(1.0), id, 7);
     let ready = Ready { token: Token::ClientConnection(id), read: true, write: false, ended: false };
     let (mut sent, pipelined_too_much) = (0, |fixture: &Fixture| fixture.clients.counters.pipelined_too_much);
-    while pipelined_too_much(&fixture) == 0 {
-        assert!(
-            fixture.clients.clients[&id].interest.read,
-            "{sent} bytes: an end behind them would not be seen"
-        );
+    let mut sent_before_bound = None;
+    while sent < 4 * MAX_PIPELINED_BYTES {
         client.write_all(REQUEST).unwrap();
         sent += REQUEST.len();
         fixture.wait_for_input(id);
         assert!(fixture.clients.handle_ready(at(1.0), &fixture.poller, id, ready).is_none());
+        if pipelined_too_much(&fixture) > 0 {
+            sent_before_bound.get_or_insert(sent);
+            assert_eq!(fixture.clients.buffered_bytes, 0, "{sent} bytes: no further request is accepted");
+        }
+        let connection = &fixture.clients.clients[&id];
+        assert!(connection.interest.read, "{sent} bytes: an end behind them would not be seen");
+        assert!(sockets::has_no_input(&connection.stream), "{sent} bytes: some are unread");
     }
-    assert!(sent > MAX_PIPELINED_BYTES && sent < MAX_PIPELINED_BYTES + 2 * REQUEST.len(), "{sent}");
-    let client = &fixture.clients.clients[&id];
-    assert!(client.closes && !client.interest.read && client.state == ConnectionState::AwaitingResponse(7));
+    let bound = MAX_PIPELINED_BYTES..MAX_PIPELINED_BYTES + 2 * REQUEST.len();
+    assert!(sent_before_bound.is_some_and(|sent| bound.contains(&sent)), "{sent_before_bound:?}");
+    assert_eq!(pipelined_too_much(&fixture), 1);
+    let connection = &fixture.clients.clients[&id];
+    assert!(connection.closes && connection.state == ConnectionState::AwaitingResponse(7));
 }
 
 /// An answer that exceeds the socket buffers of a client that does not read.
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -86,6 +86,55 @@
     assert_eq!((node.request_count(), host.status().core.attempts), (1, 1));
 }
 
+/// A client sends more than the host reads ahead and the sockets buffer, and closes while its first request is open. If the host stopped
+/// reading at a bound, the close would stay behind the unread bytes, and a node would work for nobody.
+#[test]
+fn close_behind_more_bytes_than_are_read_ahead_is_detected() {
+    for connection_field in ["", "Connection: close\r\n"] {
+        let (mut host, _endpoint_list, mut node) = default_fixture();
+        let mut client = host.client();
+        let first = String::from_utf8(host.request("read", 0, "x")).unwrap();
+        client.send(first.replace("Host: h\r\n", &format!("Host: h\r\n{connection_field}")).as_bytes());
+        host.run_until("the first is at its node", |_| node.request_count() == 1);
+        send_until_sockets_are_full(&mut host, &mut client);
+        drop(client);
+        // At its deadline the request would be answered instead.
+        host.run_until("its request is aborted", |host| host.status().core.commands_aborted == 1);
+        host.run_until("its attempt is cancelled", |host| host.status().node_counters.cancelled == 1);
+        assert_eq!((node.request_count(), host.status().core.attempts), (1, 1), "{connection_field:?}");
+    }
+}
+
+/// A client sends more than the sockets buffer, and closes before the host, which was paused, reads anything. The host must read up to the
+/// close before it dispatches the first request, or a node would work for nobody.
+#[test]
+fn request_before_a_close_behind_many_bytes_is_not_dispatched() {
+    let (mut host, _endpoint_list, mut node) = default_fixture();
+    let mut client = host.client();
+    send_until_sockets_are_full(&mut host, &mut client);
+    drop(client);
+    host.run_until("the connection is closed", |host| {
+        host.status().client_connections == 0 && accepted(&host.status()) > 0
+    });
+    host.run_for(0.05);
+    assert_eq!((node.received_byte_count(), host.status().core.commands_received), (0, 0));
+}
+
+/// Sends requests, without running the host, until the sockets of both sides accept no more bytes.
+fn send_until_sockets_are_full(host: &mut SteppedHost, client: &mut RawConnection) {
+    let flood: Vec<u8> = (0..400).flat_map(|_| host.request("read", 0, &"x".repeat(1000))).collect();
+    let mut total = 0;
+    loop {
+        let sent = client.send(&flood);
+        total += sent;
+        if sent < flood.len() {
+            break;
+        }
+        assert!(total < 64 << 20, "the sockets accept any number of bytes");
+    }
+    assert!(total > 256 << 10, "{total} bytes: a bound of the host is not reached");
+}
+
 /// A client pipelines an unlimited number of requests, which would fill the host's memory. Beyond a bound the host must answer the open
 /// request with `Connection: close` and accept no other, without a reset that would lose the answer.
 #[test]
