Call for a pushed endpoint list again within half of the drain grace

Cause: list_backoff waited up to 1.5 s after a failed call. It was derived from the 6 s after which a change counts as notified where lists are asked for; where they are pushed only the drain grace is left.

Change: Scheduler::lists_are_pushed takes the drain grace, and the backoff is then at most half of it, with little jitter (each call has a cost, only the maximum counts) and a random first backoff (all watches end together). Hosts that ask for lists keep their backoff.

The cost in calls over a fleet is not measured yet.

--- a/crates/platform-host/src/host.rs
+++ b/crates/platform-host/src/host.rs
@@ -102,6 +102,9 @@
         let listener = bind_listener(configuration.listen, &poller)
             .map_err(|problem| StartError::Listen { address: configuration.listen, problem })?;
         let mut scheduler = settings.scheduler(now, configuration.seed);
+        if settings.lists_are_pushed() {
+            scheduler.lists_are_pushed(settings.drain_grace);
+        }
         // Where lists are pushed too, the platform's agent is polled from the start. Otherwise the host would use the list in its
         // configuration file until it exits.
         scheduler.watch_endpoint_list();
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -691,6 +691,21 @@
     }
 }
 
+/// Lists are pushed, and the list service resets each poll for a while. At its return the host counts as notified of a drain, so after any
+/// number of failures the next poll must follow within the drain grace, which is 1 s here.
+#[test]
+fn pushed_list_is_polled_again_within_the_drain_grace() {
+    let (mut host, mut endpoint_list, _node) =
+        fixture(Settings { registry_mode: "push", ..Settings::default() });
+    host.run_until("the list is polled", |_| endpoint_list.request_count() == 1);
+    for failure in 0..8 {
+        let failed_at = Instant::now();
+        endpoint_list.connections.clear();
+        host.run_until("the list is polled again", |_| endpoint_list.request_count() == 1);
+        assert!(failed_at.elapsed() < Duration::from_secs(1), "failure {failure}: {:?}", failed_at.elapsed());
+    }
+}
+
 /// The list answers with an older version, in which a draining node is still ready. The answer may be a delayed one, so the node must get
 /// no request; only the complete list may restore the node.
 #[test]
--- a/src/scheduler/endpoint_list.rs
+++ b/src/scheduler/endpoint_list.rs
@@ -6,7 +6,6 @@
 use crate::interface::{Decision, Instant, ListKind, NodeEntry, NodeId, NodeState, SchedulerEvent};
 use crate::policy::concurrency_limit::ConcurrencyLimiter;
 use crate::policy::latency::new_latency_histogram;
-use crate::policy::list_backoff::list_backoff;
 use crate::policy::node_override::NodeOverride;
 use crate::policy::retention::IDLE_RETENTION;
 use crate::policy::slow_start::SlowStart;
@@ -45,7 +44,7 @@
     }
 
     fn retry_list(&mut self) {
-        let backoff = list_backoff(self.list_failures, self.random.fraction());
+        let backoff = self.settings.list_backoff.after(self.list_failures, self.random.fraction());
         self.list_failures += 1;
         self.list_requested = false;
         self.timers.set(self.now + backoff, Timer::EndpointList);
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -4,6 +4,7 @@
 use super::Scheduler;
 use crate::interface::{Effect, Instant, Plan, PlanId, SlowStartSettings, TimeDelta, TrafficClassId};
 use crate::policy::latency::new_latency_histogram;
+use crate::policy::list_backoff::ListBackoff;
 use crate::policy::loss_detection::LossDetector;
 use crate::policy::priority::Priority;
 use crate::policy::request_fate::DEADLINE_MARGIN;
@@ -42,6 +43,8 @@
     pub slow_start: SlowStartLimits,
     /// Fraction of a request's units that counts as work if the node may have its data cached.
     pub uncached_fraction: f64,
+    /// Backoff after a failed call for the endpoint list.
+    pub list_backoff: ListBackoff,
 }
 
 impl Scheduler {
@@ -63,6 +66,7 @@
             key_settle_time: TimeDelta::ZERO,
             slow_start: SlowStartLimits::default(),
             uncached_fraction: 1.0,
+            list_backoff: ListBackoff::default(),
         };
         Scheduler {
             now,
@@ -139,6 +143,12 @@
         self.settings.uncached_fraction = 1.0 - fraction.clamp(0.0, 1.0);
     }
 
+    /// Records that the list service pushes changes of the endpoint list, so that a host counts as notified of them as soon
+    /// as the service can be reached. `drain_grace` is how long a node may be sent requests after that.
+    pub fn lists_are_pushed(&mut self, drain_grace: TimeDelta) {
+        self.settings.list_backoff = ListBackoff::pushed(drain_grace);
+    }
+
     /// Makes the next poll ask the host to watch the endpoint list.
     pub fn watch_endpoint_list(&mut self) {
         self.timers.set(self.now, Timer::EndpointList);
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -400,6 +400,40 @@
     assert_eq!(calls, 5, "once for each failure");
 }
 
+/// The list service pushes lists, and is down for a while, into the start of a drain. Hosts count as notified at its return and
+/// may send to the draining node for the drain grace only, so each call must follow the last one well within the grace.
+/// Calls of many hosts have a cost, and must not all come at the same time.
+#[test]
+fn a_pushed_list_is_called_for_within_the_drain_grace() {
+    for grace in [0.25, 0.5, 1.0] {
+        let mut first_calls = Vec::new();
+        for seed in 0..50 {
+            let mut host = TestHost::with_seed(seed, 200, Effect::Idempotent, false);
+            host.scheduler.lists_are_pushed(secs(grace));
+            let mut calls = 0;
+            let outage_end = host.now + 8.0;
+            while host.now < outage_end {
+                let failed_at = host.now;
+                host.send_list(ListKind::Failed, &[]);
+                host.run_until(failed_at);
+                let called_at = host.scheduler.poll_timeout().expect("another call").secs();
+                let wait = called_at - failed_at;
+                assert!(wait <= grace / 2.0 + 1e-6, "grace {grace}, seed {seed}: {wait} s after a failure");
+                if calls == 0 {
+                    first_calls.push(wait);
+                }
+                host.now = called_at;
+                assert_eq!(host.poll(), [Decision::WatchEndpointList], "grace {grace}, seed {seed}");
+                calls += 1;
+            }
+            let most = 8.0 / (grace / 2.0) * 1.2;
+            assert!(f64::from(calls) <= most, "grace {grace}, seed {seed}: {calls} calls in 8 s");
+        }
+        let early = first_calls.iter().filter(|wait| **wait < grace / 4.0).count();
+        assert!((10..=40).contains(&early), "grace {grace}: {early} of 50 hosts call in the first half");
+    }
+}
+
 /// The same inputs must give the same decisions, so that a failure found with a seed can be reproduced.
 #[test]
 fn same_inputs_give_same_decisions() {
