Read and keep complete endpoint lists of 3,200 nodes and their successors

Cause: an answer of more than 256 KiB failed its poll, and each further one, so the host followed its old list for good; nodes beyond 1,024 of a list were left out.

Change: lists of up to 2 MiB are read and 8,192 nodes kept.

Evidence: complete_list_of_a_large_fleet_is_applied (6,400 nodes, indented) failed before ("the list is applied" never held) and passes.

--- a/crates/platform-host/src/host.rs
+++ b/crates/platform-host/src/host.rs
@@ -31,8 +31,8 @@
 
 /// Time between checks of the timeouts of connections, polls and phases.
 const TIMEOUT_CHECK_INTERVAL: TimeDelta = TimeDelta::from_millis(20);
-/// Maximum number of nodes that the host core remembers.
-const MAX_NODES: usize = 1024;
+/// Maximum number of nodes that the host core remembers: 3,200, the successor of each, and some that are gone.
+const MAX_NODES: usize = 8192;
 /// Maximum number of volumes whose names the host core remembers.
 const MAX_VOLUMES: usize = 1024;
 
--- a/crates/platform-host/src/list_watch.rs
+++ b/crates/platform-host/src/list_watch.rs
@@ -28,8 +28,8 @@
 const ANSWER_TIMEOUT_AFTER_FAILURE: TimeDelta = TimeDelta::from_millis(2000);
 /// Time that a connection to the list has to be established.
 const CONNECT_TIMEOUT: TimeDelta = TimeDelta::from_millis(700);
-/// Maximum size of an answer of the list in bytes: the complete list with all nodes as indented JSON.
-const MAX_LIST_BYTES: usize = 256 * 1024;
+/// Maximum size of an answer of the list in bytes: the complete list as indented JSON, with 3,200 nodes and the successor of each.
+const MAX_LIST_BYTES: usize = 2 * 1024 * 1024;
 /// Number of reads that suffice for the largest answer and its head.
 const MAX_LIST_READS: usize = MAX_LIST_BYTES / sockets::READ_CHUNK_BYTES + 2;
 
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -908,6 +908,38 @@
     assert_eq!((host.status().version, host.status().nodes), (1, 1));
 }
 
+/// The list service answers a watch with the complete list of a fleet of 3,200 nodes that is being replaced, indented, in which a node
+/// drains. If the host refused a list of this length, or had no room for its nodes, it would follow its old list for good.
+#[test]
+fn complete_list_of_a_large_fleet_is_applied() {
+    const NODES: u32 = 2 * 3_200;
+    let (mut host, mut endpoint_list, mut node) = default_fixture();
+    host.run_until("the list is polled", |_| endpoint_list.request_count() == 1);
+    let other = FakeServer::new();
+    let member = |number: u32| {
+        let (id, shard) = (format!("storage-node-{number:08x}"), number % 3_200);
+        member_json(&id, other.address(), shard, "Ready").replace(',', ",\n          ")
+    };
+    let mut members: Vec<String> = (1..NODES).map(member).collect();
+    members.push(member_json("s-0", node.address(), 0, "Terminating"));
+    let answer = ok_response(&list_json(2, true, &members));
+    assert!(answer.len() > 1 << 20, "{} bytes", answer.len());
+    let mut sent = 0;
+    host.run_until("the list is applied", |host| {
+        if let Some(connection) = endpoint_list.connections.first_mut() {
+            sent += connection.send(&answer.as_bytes()[sent..]);
+        }
+        host.status().version == 2
+    });
+    assert_eq!(host.status().nodes, NODES as usize);
+    let mut client = host.client();
+    let text = host.request("read", 0, "x");
+    client.send(&text);
+    host.run_until("the request is accepted", |host| host.status().core.commands_received == 1);
+    host.run_for(0.1);
+    assert_eq!(node.received_byte_count(), 0, "the draining node got a request");
+}
+
 /// All nodes drain or leave, and return. A host without a ready node can't serve, so its health check must fail until a node is ready.
 #[test]
 fn health_check_fails_while_no_node_is_ready() {
