Forget shards that only clients have named

Cause: each such request left an entry in Scheduler::shards for good; each change of the list visited all of them.

Change: a shard that no list has named lately, that was never used and for which nothing waits is removed when it was looked at.

--- a/src/policy/service_rate.rs
+++ b/src/policy/service_rate.rs
@@ -33,6 +33,11 @@
         Decay { elapsed_secs, kept: (-elapsed_secs / MEMORY.secs()).exp() }
     }
 
+    /// Returns whether no units were counted and no rate was restored.
+    pub fn is_unknown(&self) -> bool {
+        self.updated_at.is_none()
+    }
+
     /// Counts served units.
     pub fn add(&mut self, now: Instant, units: f64) {
         let decay = self.decay(now);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -89,7 +89,10 @@
             let shard = *self.pending_shards.first()?;
             match self.pick_request(shard).and_then(|dispatch| self.start_attempt(shard, dispatch)) {
                 Some(decision) => return Some(decision),
-                None => _ = self.pending_shards.remove(&shard),
+                None => {
+                    self.pending_shards.remove(&shard);
+                    self.forget_unknown_shard(shard);
+                }
             }
         }
     }
@@ -108,6 +111,14 @@
         }
     }
 
+    /// Removes the shard if nothing is known of it. A client that names a new shard in each request would otherwise grow the
+    /// table without bound.
+    fn forget_unknown_shard(&mut self, id: ShardId) {
+        if self.shards.get(&id).is_some_and(Shard::is_unknown) {
+            self.shards.remove(&id);
+        }
+    }
+
     fn forget_idle_key(&mut self, key: KeyId) {
         if self.key_queues.get(&key).is_some_and(|queue| queue.is_idle(self.now)) {
             self.key_queues.remove(&key);
@@ -125,6 +136,11 @@
         self.nodes.len()
     }
 
+    /// Returns the number of shards in the table: those that a list has named, and those with a waiting request.
+    pub fn shard_count(&self) -> usize {
+        self.shards.len()
+    }
+
     /// Returns the number of volumes in the table, including idle ones that are not forgotten yet.
     pub fn volume_count(&self) -> usize {
         self.volumes.len()
--- a/src/scheduler/shard.rs
+++ b/src/scheduler/shard.rs
@@ -56,6 +56,14 @@
 }
 
 impl Shard {
+    /// Returns whether nothing is known of the shard: no list has named it lately, nothing waits, and nothing was sent or
+    /// served.
+    pub fn is_unknown(&self) -> bool {
+        let has_requests = !self.queues.is_empty() || !self.late_requests.is_empty();
+        let was_used = !self.start_tags.is_empty() || !self.recent_keys.is_empty();
+        self.nodes.is_empty() && !has_requests && !was_used && self.service_rate.is_unknown()
+    }
+
     /// Returns the start tag of the volume's next request. It is at least the virtual time, so that a volume does not
     /// accumulate credit while idle.
     pub fn start_tag(&self, volume: VolumeId) -> f64 {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -345,6 +345,38 @@
     }
 }
 
+/// Clients name a new shard, which no list has, in each request. The table of shards must not grow with them: it is searched at
+/// each change of the list, and takes the memory of the host.
+#[test]
+fn shards_that_no_list_names_are_forgotten() {
+    let mut host = host_with_nodes(3);
+    for i in 0..5_000 {
+        host.time_left = if i % 2 == 0 { 0.003 } else { 3.0 };
+        let id = host.submit(i % 2, i % 4, 0, 1.0, 10 + i as i32, i);
+        if i % 3 == 0 {
+            let now = host.instant();
+            host.scheduler.request_cancelled(now, id);
+        }
+        let end = host.now + 0.001;
+        host.run_until(end);
+    }
+    let end = host.now + 4.0;
+    host.run_until(end);
+    assert_eq!(host.scheduler.shard_count(), 3);
+    // A request for such a shard is served once a list names it.
+    let id = host.submit(0, 2, 0, 1.0, 17, 0);
+    let entry = NodeEntry {
+        node: NodeId(9),
+        state: NodeState::Ready,
+        zone: ZoneId(0),
+        shard: ShardId(17),
+        up_since: None,
+    };
+    let now = host.instant();
+    host.scheduler.nodes_changed(now, ListKind::Changes, &[entry]);
+    assert_eq!(host.poll_sends(), [(id, NodeId(9))]);
+}
+
 /// New objects may go to any node. They are spread by the nodes' speed, hosts that start at the same time begin at
 /// different nodes, and a draining node gets none.
 #[test]
