Bound the requests that the retry budget counts, and search them in logarithmic time

Cause: the retry budget kept the time of each request of two windows and counted them one by one whenever a waiting retry was looked at. Clients that send at full speed determine their number, and each arrival for the retry's shard looks at it.

Change: a binary search, and at most 65,536 times. Beyond that fewer requests are counted, which only lowers the budget.

--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -11,6 +11,9 @@
 /// that checks the rule may differ by some milliseconds; the budget must hold by either clock.
 const WINDOW_MARGIN: TimeDelta = TimeDelta::from_millis(20);
 
+/// The maximum number of received requests that are counted. Beyond it the oldest is forgotten, which only lowers the budget.
+const MAX_COUNTED_REQUESTS: usize = 65_536;
+
 /// The retries that the budget allows over any `window`.
 #[derive(Clone, Copy)]
 pub struct RetryBudgetSettings {
@@ -41,6 +44,9 @@
         let Some(settings) = self.settings else { return };
         self.forget_before(now - (settings.window + settings.window));
         self.requests.push_back(now);
+        if self.requests.len() > MAX_COUNTED_REQUESTS {
+            self.requests.pop_front();
+        }
     }
 
     /// Records that a retry is sent.
@@ -66,7 +72,12 @@
     }
 }
 
-/// Returns how many of the times are not before `since`. The times are in ascending order.
+/// Returns how many of the times are not before `since`. The times are in ascending order. The search is binary, since each
+/// retry that waits is checked again and again, and clients determine how many requests are counted.
 fn count_since(times: &VecDeque<Instant>, since: Instant) -> f64 {
-    times.iter().rev().take_while(|at| **at >= since).count() as f64
+    let earlier = times.partition_point(|at| *at < since);
+    (times.len() - earlier) as f64
 }
+
+#[cfg(test)]
+mod tests;
