Keep volumes to their limit while clients name new ones, and forget lost numbers

Cause: the host numbers the volumes that clients name. Beyond 1,024 the least recently used one lost its number and came back under a new one, with half of its slack unused. The scheduler kept the state of each lost number for 30 s and searched all of it at each new one.

Change: a volume keeps its number while it has used more of its limit than a new one starts with. The scheduler forgets a volume with its number and searches for idle ones at most ten times a second. The names are indexed by their last use, so that an eviction does not visit all of them.

--- a/crates/host-core/src/core.rs
+++ b/crates/host-core/src/core.rs
@@ -221,6 +221,11 @@
         self.scheduler.key_queue_count()
     }
 
+    /// Returns the number of volumes for which the scheduler has state.
+    pub fn volume_count(&self) -> usize {
+        self.scheduler.volume_count()
+    }
+
     /// Returns the numbers of commands, requests and attempts in flight.
     pub fn open_counts(&self) -> OpenCounts {
         OpenCounts {
--- a/crates/host-core/src/core/commands.rs
+++ b/crates/host-core/src/core/commands.rs
@@ -164,11 +164,17 @@
         // Computed only if the table of volume names is full, and then only once.
         let volumes_in_use: LazyCell<HashSet<usize>, _> =
             LazyCell::new(|| self.commands.values().map(|command| command.volume).collect());
-        let is_in_use = |volume: usize| volumes_in_use.contains(&volume);
+        let scheduler = &mut self.scheduler;
+        let is_in_use = |volume: usize| {
+            volumes_in_use.contains(&volume) || !scheduler.may_forget_volume(now, VolumeId(volume as u32))
+        };
         let Some(volume) = self.volume_names.number(now, request.volume, is_in_use) else {
             self.counters.commands_over_bound += 1;
             return self.reject(from, Some(self.max_retry_after));
         };
+        if let Some(evicted) = self.volume_names.take_evicted() {
+            self.scheduler.volume_forgotten(now, VolumeId(evicted as u32));
+        }
         let usage = Usage { requests: 1, bytes: request.payload.bytes() };
         if let Err(wait) = self.admission.admit(now, from.session, volume, usage) {
             self.counters.commands_over_bound += 1;
--- a/crates/host-core/src/volume_names.rs
+++ b/crates/host-core/src/volume_names.rs
@@ -1,6 +1,6 @@
 //! A bounded table of the volumes that clients name, and the numbers by which the scheduler knows them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use tackmast::interface::Instant;
 
 #[derive(Clone, Copy, Debug)]
@@ -13,8 +13,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct VolumeNames {
     volumes: HashMap<u64, NumberedVolume>,
+    /// The names of all volumes by their last use.
+    by_last_use: BTreeSet<(Instant, u64)>,
     next_number: usize,
     max_volumes: usize,
+    /// The number of the volume that was evicted last, until it is taken.
+    evicted: Option<usize>,
 }
 
 impl VolumeNames {
@@ -32,24 +36,39 @@
         &mut self,
         now: Instant,
         name: u64,
-        is_in_use: impl Fn(usize) -> bool,
+        is_in_use: impl FnMut(usize) -> bool,
     ) -> Option<usize> {
         if let Some(volume) = self.volumes.get_mut(&name) {
+            self.by_last_use.remove(&(volume.last_used, name));
+            self.by_last_use.insert((now, name));
             volume.last_used = now;
             return Some(volume.number);
         }
         if self.volumes.len() >= self.max_volumes {
-            let is_unused = |(_, volume): &(&u64, &NumberedVolume)| !is_in_use(volume.number);
-            let by_last_use = |(name, volume): &(&u64, &NumberedVolume)| (volume.last_used, **name);
-            let (oldest, _) = self.volumes.iter().filter(is_unused).min_by_key(by_last_use)?;
-            let oldest = *oldest;
-            self.volumes.remove(&oldest);
+            self.evict_least_recently_used(is_in_use)?;
         }
         let number = self.next_number;
         self.next_number += 1;
         self.volumes.insert(name, NumberedVolume { number, last_used: now });
+        self.by_last_use.insert((now, name));
         Some(number)
     }
+
+    /// Evicts the least recently used volume that is not in use; `None` if all are in use.
+    fn evict_least_recently_used(&mut self, mut is_in_use: impl FnMut(usize) -> bool) -> Option<()> {
+        let volumes = &self.volumes;
+        let is_unused =
+            |(_, name): &&(Instant, u64)| volumes.get(name).is_none_or(|volume| !is_in_use(volume.number));
+        let oldest = *self.by_last_use.iter().find(is_unused)?;
+        self.by_last_use.remove(&oldest);
+        self.evicted = self.volumes.remove(&oldest.1).map(|volume| volume.number);
+        Some(())
+    }
+
+    /// Returns, once, the number of the volume that the last call of `number` evicted.
+    pub(crate) fn take_evicted(&mut self) -> Option<usize> {
+        self.evicted.take()
+    }
 }
 
 #[cfg(test)]
--- a/crates/host-core/tests/object_requests.rs
+++ b/crates/host-core/tests/object_requests.rs
@@ -15,6 +15,9 @@
     TimeDelta::from_secs(secs)
 }
 
+/// The plan with number 1; the one with number 0 has no limit.
+const LIMITED_PLAN: Plan = Plan { limit: 10.0, burst: 40.0, slack: 8.0, reserve: 0.0, weight: 1.0 };
+
 struct Fixture {
     core: Core,
     sent: Vec<SendAttempt>,
@@ -45,6 +48,7 @@
         let now = at(10.0);
         let mut scheduler = Scheduler::new(now, 1, 1, seconds(0.002), 2.0);
         scheduler.add_plan(Plan { limit: 0.0, burst: 0.0, slack: 0.0, reserve: 0.0, weight: 1.0 });
+        scheduler.add_plan(LIMITED_PLAN);
         let traffic_classes: Vec<TrafficClass> = EFFECTS
             .iter()
             .map(|effect| {
@@ -104,9 +108,13 @@
     }
 
     fn submit(&mut self, now: Instant, command: u32, traffic_class: u32, volume: u64) {
+        self.submit_under_plan(0, now, command, traffic_class, volume);
+    }
+
+    fn submit_under_plan(&mut self, plan: u32, now: Instant, command: u32, traffic_class: u32, volume: u64) {
         let request = ObjectRequest {
             volume,
-            plan: PlanId(0),
+            plan: PlanId(plan),
             traffic_class: TrafficClassId(traffic_class),
             shard: Some(ShardId(0)),
             key: u64::from(command),
@@ -224,6 +232,44 @@
     assert_eq!(fixture.sent.len(), 1);
 }
 
+/// Clients name a new volume in each request. The state of all of them would fill the memory of the host, and each new one would make the
+/// scheduler search the others.
+#[test]
+fn the_scheduler_forgets_volumes_that_lost_their_number() {
+    let mut fixture = Fixture::new(64, 8, 16);
+    for command in 0..2_000 {
+        let now = at(10.0 + f64::from(command) * 0.001);
+        fixture.submit(now, command, 0, u64::from(command));
+        let attempt = fixture.write();
+        fixture.finish_attempt(now, attempt, Outcome::Done, b"");
+        assert!(fixture.core.volume_count() <= 17, "{} volumes", fixture.core.volume_count());
+    }
+}
+
+/// Between any two requests of a volume with a limit, clients name so many new volumes that it would lose its number. If it began anew each
+/// time, it would use a part of its slack each time, and exceed its limit.
+#[test]
+fn a_volume_does_not_exceed_its_limit_while_clients_name_new_volumes() {
+    let mut fixture = Fixture::new(64, 8, 16);
+    let (mut command, mut used) = (0, 0.0);
+    for step in 0..500 {
+        let now = at(10.0 + f64::from(step) * 0.01);
+        for volume in [7].into_iter().chain((0..20).map(|i| 1_000 + step as u64 * 20 + i)) {
+            command += 1;
+            let plan = u32::from(volume == 7);
+            fixture.submit_under_plan(plan, now, command, 0, volume);
+            while !fixture.sent.is_empty() {
+                let attempt = fixture.write();
+                used += if volume == 7 { 1.0 } else { 0.0 };
+                fixture.finish_attempt(now, attempt, Outcome::Done, b"");
+            }
+        }
+    }
+    let Plan { limit, slack, .. } = LIMITED_PLAN;
+    assert!(used <= limit * 5.0 + slack, "{used} units in 5 s");
+    assert!(used >= limit * 4.0, "{used} units in 5 s");
+}
+
 /// A node moves to another address, and other nodes are replaced repeatedly under new ids. The state of the moved node must be kept, and
 /// the table must not grow.
 #[test]
--- a/src/policy/retention.rs
+++ b/src/policy/retention.rs
@@ -15,6 +15,8 @@
 /// The number of known volumes from which idle ones are dropped. Otherwise a client that names a new volume in each
 /// request would grow the table without bound.
 pub const MAX_IDLE_VOLUMES: usize = 512;
+/// The shortest time between two searches of the table of volumes for idle ones.
+pub const VOLUME_SEARCH_INTERVAL: TimeDelta = TimeDelta::from_millis(100);
 /// The number of recently used keys that are kept for each shard. A repeated access to one of them is recognised,
 /// since the node may have the data cached.
 pub const MAX_RECENT_KEYS: usize = 16;
--- a/src/policy/volume_limit.rs
+++ b/src/policy/volume_limit.rs
@@ -27,6 +27,11 @@
     plan.limit > 0.0
 }
 
+/// Returns the level of the limit's bucket at the start, in units.
+fn initial_level(plan: &Plan, host_count: f64) -> f64 {
+    (plan.burst - plan.slack * STARTUP_SLACK_FRACTION) / host_count
+}
+
 /// The use that a volume makes of its limit and its reservation at this host, and this host's share of both.
 pub struct VolumeLimit {
     /// The number of hosts that share the rates.
@@ -44,16 +49,22 @@
     /// the burst. So the bucket starts as if the burst had been used, except for this host's part of half of the slack:
     /// otherwise each restart would allow a second burst.
     pub fn new(now: Instant, plan: &Plan, host_count: f64) -> Self {
-        let level = (plan.burst - plan.slack * STARTUP_SLACK_FRACTION) / host_count;
         VolumeLimit {
             host_count,
-            limit: Bucket { level, updated_at: now },
+            limit: Bucket { level: initial_level(plan, host_count), updated_at: now },
             reservation: Bucket { level: 0.0, updated_at: now },
             measured_share: MeasuredShare::new(now, host_count),
             leases: QuotaLeases { lent: 0.0, borrowed: 0.0, until: now },
         }
     }
 
+    /// Returns whether the volume has no limit, or has used no more of it than a new volume starts with.
+    pub fn is_within_initial_level(&mut self, now: Instant, plan: &Plan) -> bool {
+        let rate = plan.limit * self.share(now);
+        self.limit.drain(now, rate);
+        !is_limited(plan) || self.limit.level <= initial_level(plan, self.host_count)
+    }
+
     /// Returns the number of hosts that share the rates.
     pub fn host_count(&self) -> f64 {
         self.host_count
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -63,6 +63,8 @@
     nodes: BTreeMap<NodeId, Node>,
     shards: BTreeMap<ShardId, Shard>,
     volumes: HashMap<VolumeId, Volume>,
+    /// When idle volumes were last searched for.
+    volumes_searched_at: Instant,
     requests: HashMap<RequestId, Request>,
     key_queues: HashMap<KeyId, KeyQueue>,
     rejected_requests: RejectedRequests,
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -81,6 +81,7 @@
             nodes: BTreeMap::new(),
             shards: BTreeMap::new(),
             volumes: HashMap::new(),
+            volumes_searched_at: Instant::default(),
             requests: HashMap::new(),
             key_queues: HashMap::new(),
             rejected_requests: Default::default(),
--- a/src/scheduler/volumes.rs
+++ b/src/scheduler/volumes.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use crate::interface::{Instant, LeaseChange, Plan, PlanId, RequestId, VolumeId};
 use crate::policy::measured_share::ShardService;
-use crate::policy::retention::{IDLE_RETENTION, MAX_IDLE_VOLUMES};
+use crate::policy::retention::{IDLE_RETENTION, MAX_IDLE_VOLUMES, VOLUME_SEARCH_INTERVAL};
 use crate::policy::volume_limit::VolumeLimit;
 
 impl Scheduler {
@@ -73,7 +73,7 @@
         })
     }
 
-    /// Removes idle volumes if the table is full and `new` is not in it.
+    /// Removes idle volumes if the table is full, `new` is not in it, and this was not done lately.
     ///
     /// This gives away no burst: what an idle volume had used of its limit has drained long ago, and a volume that returns
     /// starts with its burst used.
@@ -81,10 +81,30 @@
         if self.volumes.len() < MAX_IDLE_VOLUMES || self.volumes.contains_key(&new) {
             return;
         }
+        // The whole table is searched. Clients that name a new volume in each request must not cause that with each of them.
+        if self.now < self.volumes_searched_at + VOLUME_SEARCH_INTERVAL {
+            return;
+        }
+        self.volumes_searched_at = self.now;
         let since = self.now - IDLE_RETENTION;
         self.volumes.retain(|_, volume| volume.in_use_since(since));
         for shard in self.shards.values_mut() {
             shard.start_tags.retain(|id, _| self.volumes.contains_key(id));
         }
     }
+
+    /// Returns whether a volume without an open request may be forgotten: one that is new starts with at least as much of
+    /// its limit used. Otherwise a client could make the host forget a volume again and again, and use more than its limit.
+    pub fn may_forget_volume(&mut self, now: Instant, id: VolumeId) -> bool {
+        self.now = now;
+        let Some(volume) = self.volumes.get_mut(&id) else { return true };
+        let plan = &self.settings.plans[volume.plan.0 as usize];
+        volume.limit.is_within_initial_level(now, plan)
+    }
+
+    /// Forgets a volume that has no open request, because the host will not use its number again.
+    pub fn volume_forgotten(&mut self, now: Instant, id: VolumeId) {
+        self.now = now;
+        self.volumes.remove(&id);
+    }
 }
