Forget answered requests for new objects while no node can take them

Cause: a request for a new object without a node was remembered until the next change of the endpoint list, also after its answer, so memory grew with each.

Evidence: answered_requests_for_new_objects_are_forgotten_without_a_node failed before (20,000 kept, of which 10 wait) and passes.

--- a/src/policy/retention.rs
+++ b/src/policy/retention.rs
@@ -22,3 +22,5 @@
 pub const MAX_RECENT_KEYS: usize = 16;
 /// The number of requests of a queue that are searched for one that is not held by a guard of its own.
 pub const MAX_SCANNED_REQUESTS: usize = 16;
+/// The number of unplaced requests for new objects below which those that are over are not searched for.
+pub const MIN_UNPLACED_SEARCH: usize = 64;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -148,6 +148,12 @@
         self.volumes.len()
     }
 
+    /// Returns the number of requests for new objects that wait until a node can take them, and of those of them that are
+    /// over and not removed yet.
+    pub fn unplaced_request_count(&self) -> usize {
+        self.unplaced_requests.len()
+    }
+
     /// Returns the number of rejected or failed requests that are kept to recognize requests that clients send again.
     pub fn rejected_request_count(&self) -> usize {
         self.rejected_requests.len()
--- a/src/scheduler/arrival.rs
+++ b/src/scheduler/arrival.rs
@@ -4,6 +4,7 @@
 use super::shard::QueueEnd;
 use super::Scheduler;
 use crate::interface::{Instant, NewRequest, RequestId, ShardId, TimeDelta};
+use crate::policy::retention::MIN_UNPLACED_SEARCH;
 use crate::state::Timer;
 
 impl Scheduler {
@@ -76,7 +77,7 @@
         let Some(request) = self.requests.get(&id).filter(|request| request.is_waiting) else { return };
         let fixed_shard = if request.can_move() { None } else { request.shard };
         let Some(shard) = fixed_shard.or_else(|| self.place_new_object()) else {
-            return self.unplaced_requests.push(id);
+            return self.add_unplaced(id);
         };
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.shard = Some(shard);
@@ -85,6 +86,16 @@
         self.pending_shards.insert(shard);
     }
 
+    /// Adds a request for a new object that no node can take. Those that no longer wait are removed whenever their number may
+    /// have doubled, since no change of the list may come for long.
+    fn add_unplaced(&mut self, id: RequestId) {
+        self.unplaced_requests.push(id);
+        if self.unplaced_requests.len() >= MIN_UNPLACED_SEARCH.max(2 * self.requests.len()) {
+            let requests = &self.requests;
+            self.unplaced_requests.retain(|id| requests.get(id).is_some_and(|request| request.is_waiting));
+        }
+    }
+
     /// Adds a request to its queue at a shard. At the front it takes a tag no greater than that of the request behind it,
     /// so that the queue stays in order of tags.
     fn add_to_queue(&mut self, id: RequestId, shard: ShardId, end: QueueEnd) {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -377,6 +377,21 @@
     assert_eq!(host.poll_sends(), [(id, NodeId(9))]);
 }
 
+/// No node can take new objects, and no change of the list comes, while clients ask for many. The requests that got their answer must be
+/// forgotten, or the memory of the host would fill.
+#[test]
+fn answered_requests_for_new_objects_are_forgotten_without_a_node() {
+    let mut host = TestHost::new(1, Effect::Idempotent, false);
+    host.time_left = 0.01;
+    for i in 0..20_000 {
+        host.submit(0, 2, 0, 1.0, -1, i);
+        let end = host.now + 0.001;
+        host.run_until(end);
+    }
+    let unplaced = host.scheduler.unplaced_request_count();
+    assert!(unplaced <= 64, "{unplaced} requests for new objects, of which 10 wait");
+}
+
 /// New objects may go to any node. They are spread by the nodes' speed, hosts that start at the same time begin at
 /// different nodes, and a draining node gets none.
 #[test]
