--- a/crates/platform-host/src/client_connections/tests.rs
+++ b/crates/platform-host/src/client_connections/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::client_connection::{LINGER_TIMEOUT, MAX_LINGER_BYTES, MAX_PIPELINED_BYTES};
+use crate::poller::Ready;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::time::{Duration, Instant as Wall};
