Give each plan its own volume in a test of bounded tables

One volume changed its plan with each request, which made the scheduler look at all shards and took 20 s in a debug build. The table under test does not depend on it: without the guard the test still fails with 5,003 shards instead of 3. It takes 1 s now.

--- a/tests/bounded_tables.rs
+++ b/tests/bounded_tables.rs
@@ -81,7 +81,7 @@
     let mut host = host_with_nodes(3);
     for i in 0..5_000 {
         host.time_left = if i % 2 == 0 { 0.003 } else { 3.0 };
-        let id = host.submit(i % 2, i % 4, 0, 1.0, 10 + i as i32, i);
+        let id = host.submit(i % 2, i % 4, i % 4, 1.0, 10 + i as i32, i);
         if i % 3 == 0 {
             let now = host.instant();
             host.scheduler.request_cancelled(now, id);
