Serve by no list of the configuration that a pushed list has not confirmed

Cause: a failed poll of the agent counted as a poll, so the host became ready with the list of its configuration; and only the health check looked at it, so requests that came earlier were sent by the old list in any case. Ruled out: a late answer (the agent was down) and the other host's list.

Change: where lists are pushed, readiness and requests wait for an answer that brings the list up to date (src/policy/list_confirmation.rs). A failed poll, an older version, or changes while earlier ones are missing do not count. Related: a list of the configuration that has changes only counted as complete; the complete list is polled now.

--- a/crates/platform-host/src/close_reason.rs
+++ b/crates/platform-host/src/close_reason.rs
@@ -20,6 +20,8 @@
     },
     /// The request was not complete in time.
     RequestTimeout,
+    /// The host has just started, and its endpoint list may be outdated.
+    UnconfirmedList,
     /// The host is shutting down and no longer accepts requests.
     ShuttingDown,
 }
@@ -28,9 +30,10 @@
     /// Returns the HTTP status of the last answer.
     pub(crate) fn status(&self) -> u16 {
         match self {
-            CloseReason::NoConnectionCapacity | CloseReason::NoBufferCapacity | CloseReason::ShuttingDown => {
-                503
-            }
+            CloseReason::NoConnectionCapacity
+            | CloseReason::NoBufferCapacity
+            | CloseReason::UnconfirmedList
+            | CloseReason::ShuttingDown => 503,
             CloseReason::Malformed(error) => error.status(),
             CloseReason::Refused { status, .. } => *status,
             CloseReason::RequestTimeout => 408,
@@ -45,6 +48,7 @@
             CloseReason::Malformed(error) => error.to_string(),
             CloseReason::Refused { why, .. } => why.clone(),
             CloseReason::RequestTimeout => "no whole request in time".to_owned(),
+            CloseReason::UnconfirmedList => "no endpoint list yet".to_owned(),
             CloseReason::ShuttingDown => "the host ends".to_owned(),
         }
     }
--- a/crates/platform-host/src/host.rs
+++ b/crates/platform-host/src/host.rs
@@ -71,8 +71,8 @@
     next_poll_at: Option<Instant>,
     /// Whether a complete list was applied and no change is missing since. Otherwise the complete list is polled.
     has_complete_list: bool,
-    /// Whether a poll of the list has ended, successfully or not.
-    has_polled_list: bool,
+    /// Whether an answer of the list service has brought the list of the configuration up to date.
+    is_list_confirmed: bool,
     signals: HashMap<u32, (ProcessSignal, UnixStream)>,
     request_ids: RequestIds,
     /// The number of the request that was accepted last; 0 before the first.
@@ -123,7 +123,7 @@
             last_poll_at: now - MIN_POLL_INTERVAL,
             next_poll_at: None,
             has_complete_list: false,
-            has_polled_list: false,
+            is_list_confirmed: false,
             signals: HashMap::new(),
             request_ids: RequestIds::default(),
             last_request_number: 0,
--- a/crates/platform-host/src/host/endpoint_list.rs
+++ b/crates/platform-host/src/host/endpoint_list.rs
@@ -45,11 +45,10 @@
             None => {}
             Some(WatchEvent::Failed(why)) => {
                 tracing::debug!(why, "poll of the endpoint list failed");
-                (self.watches_list, self.has_polled_list) = (false, true);
+                self.watches_list = false;
                 self.core.handle_endpoint_list(now, ListKind::Failed, 0, 0, &[]);
             }
             Some(WatchEvent::List { after, list }) => {
-                self.has_polled_list = true;
                 self.handle_list_answer(now, after, &list);
                 if self.watches_list {
                     self.poll_list(now);
@@ -72,6 +71,8 @@
             return;
         }
         self.apply_list(now, kind(list), after, list);
+        // Changes alone confirm the list only if none before them are missing: one of those may be a drain.
+        self.is_list_confirmed |= self.has_complete_list;
     }
 
     /// Passes a list to the core, and closes the unused connections to nodes that are no longer ready at their address.
@@ -91,8 +92,8 @@
         });
         let entries: Vec<ListEntry> = entries.collect();
         self.core.handle_endpoint_list(now, kind, from, list.version, &entries);
-        // Changes do not include earlier changes that are missing.
-        self.has_complete_list |= kind != ListKind::Changes;
+        // Changes do not include earlier changes that are missing, and the list of the configuration may consist of changes only.
+        self.has_complete_list |= list.complete;
         let nodes = self.core.nodes();
         let is_current = |node, address: SocketAddr| {
             let is_ready = nodes.entry(node).is_some_and(|entry| entry.state == NodeState::Ready);
--- a/crates/platform-host/src/host/requests.rs
+++ b/crates/platform-host/src/host/requests.rs
@@ -6,6 +6,7 @@
 use crate::shutdown_schedule::ShutdownPhase;
 use std::io::ErrorKind;
 use tackmast::interface::{Instant, NodeState};
+use tackmast::policy::may_serve_by_list;
 use tackmast_host_core::{CommandId, ObjectRequest, OpaqueRequest};
 use tackmast_http::Request;
 use tackmast_platform::Call;
@@ -71,6 +72,10 @@
         if self.shutdown_phase >= ShutdownPhase::Settled {
             return Err(CloseReason::ShuttingDown);
         }
+        // Clients may send requests before the host is ready, for example those that knew it before a restart.
+        if !self.may_serve_by_list() {
+            return Err(CloseReason::UnconfirmedList);
+        }
         let (status, why) = match Call::parse(request, &self.settings) {
             Ok(call) if self.request_ids.is_in_use(&call.id) => {
                 (409, "x-call-id: that of another request; expected a fresh one".to_owned())
@@ -112,11 +117,14 @@
         }
     }
 
-    /// Returns whether the host has a node that is ready and, where lists are pushed, has polled the agent.
+    /// Returns whether the host may serve by the list that it has, and a node of it is ready.
     fn is_ready(&self) -> bool {
-        // Where lists are pushed, a new process counts as notified of the agent's list. A host that became ready before it has polled
-        // the agent could send requests to draining nodes.
-        let has_polled = self.has_polled_list || !self.settings.lists_are_pushed();
-        has_polled && self.core.nodes().entries().any(|(_, entry)| entry.state == NodeState::Ready)
+        let is_any_ready = self.core.nodes().entries().any(|(_, entry)| entry.state == NodeState::Ready);
+        self.may_serve_by_list() && is_any_ready
+    }
+
+    /// Returns whether the endpoint list is recent enough for requests to be sent by it.
+    fn may_serve_by_list(&self) -> bool {
+        may_serve_by_list(self.settings.lists_are_pushed(), self.is_list_confirmed)
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,6 +14,7 @@
 //! | May it be retried? | `retry_safety`, `retry_budget`, `retry_credit` |
 //! | When does an attempt time out? | `attempt_timeout`, `loss_detection` |
 //! | When is a failed call for the endpoint list repeated? | `list_backoff` |
+//! | Which endpoint list may a new process serve by? | `list_confirmation` |
 //! | What is kept in memory, and for how long? | `retention`, `service_rate`, `latency` |
 //! | What can an operator override? | `node_override` |
 //!
@@ -25,6 +26,7 @@
 pub(crate) mod hold;
 pub(crate) mod latency;
 pub(crate) mod list_backoff;
+pub(crate) mod list_confirmation;
 pub(crate) mod loss_detection;
 pub(crate) mod measured_share;
 pub(crate) mod node_override;
@@ -42,4 +44,5 @@
 pub(crate) mod volume_limit;
 
 pub(crate) use hold::Hold;
+pub use list_confirmation::may_serve_by_list;
 pub use volume_limit::GUARANTEED_SHARE;
