Remove the timers and queue places of requests that are over

Cause: timers can't be cancelled, and the deadline of a request is its client's choice, so each answered request left its timer for up to an hour (src/state/timers.rs, src/scheduler/arrival.rs). A request whose client has left also kept its place in its queue behind a held one. Ruled out by the same load with each kind of client alone: no time left, unknown shards and alternating plans stay level after 2 s.

Change: src/scheduler/stale_entries.rs removes both when their number may have doubled; the work of an arrival stays constant in the mean.

--- a/src/policy/retention.rs
+++ b/src/policy/retention.rs
@@ -22,5 +22,9 @@
 pub const MAX_RECENT_KEYS: usize = 16;
 /// The number of requests of a queue that are searched for one that is not held by a guard of its own.
 pub const MAX_SCANNED_REQUESTS: usize = 16;
+/// The number of timers below which those that are no longer needed are not searched for.
+pub const MIN_TIMER_SEARCH: usize = 16_384;
+/// The number of entries of one queue below which those of requests that no longer wait are not searched for.
+pub const MIN_QUEUE_SEARCH: usize = 64;
 /// The number of unplaced requests for new objects below which those that are over are not searched for.
 pub const MIN_UNPLACED_SEARCH: usize = 64;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -23,6 +23,7 @@
 mod service_rates;
 mod settings;
 mod shard;
+mod stale_entries;
 mod volume;
 mod volumes;
 
@@ -73,6 +74,8 @@
     /// Shards at which a request may be ready to be sent.
     pending_shards: BTreeSet<ShardId>,
     timers: Timers,
+    /// The number of timers at which those that are no longer needed are searched for next.
+    timer_search_size: usize,
     /// Decisions that the host has not polled yet.
     decisions: VecDeque<Decision>,
 }
--- a/src/scheduler/arrival.rs
+++ b/src/scheduler/arrival.rs
@@ -25,6 +25,7 @@
         self.requests.insert(new.id, request);
         self.retry_budget.record_request(now);
         self.enqueue(new.id, QueueEnd::Back);
+        self.remove_stale_timers();
     }
 
     fn new_request(&mut self, new: &NewRequest) -> Request {
@@ -100,8 +101,10 @@
     /// so that the queue stays in order of tags.
     fn add_to_queue(&mut self, id: RequestId, shard: ShardId, end: QueueEnd) {
         let Some(request) = self.requests.get(&id) else { return };
+        let (volume, class) = (request.volume, request.class);
+        self.remove_stale_queue_entries(shard, (volume, class));
         let queues = &mut self.shards.entry(shard).or_default().queues;
-        let queue = queues.entry((request.volume, request.class)).or_default();
+        let queue = queues.entry((volume, class)).or_default();
         match end {
             QueueEnd::Back => queue.push_back(id),
             QueueEnd::Front => {
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -8,6 +8,7 @@
 use crate::policy::loss_detection::LossDetector;
 use crate::policy::priority::Priority;
 use crate::policy::request_fate::DEADLINE_MARGIN;
+use crate::policy::retention::MIN_TIMER_SEARCH;
 use crate::policy::retry_budget::{RetryBudget, RetryBudgetSettings};
 use crate::policy::slow_start::SlowStartLimits;
 use crate::policy::traffic_class::{rank_by_latency_objective, TrafficClass};
@@ -88,6 +89,7 @@
             unplaced_requests: Vec::new(),
             pending_shards: BTreeSet::new(),
             timers: Timers::default(),
+            timer_search_size: MIN_TIMER_SEARCH,
             decisions: VecDeque::new(),
         }
     }
--- a/src/state/timers.rs
+++ b/src/state/timers.rs
@@ -27,6 +27,17 @@
         self.0.push(Reverse((at, timer)));
     }
 
+    /// Returns the number of timers that are set.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Removes the timers for which `is_needed` returns `false`. It is given the time and the action of each.
+    pub fn retain(&mut self, mut is_needed: impl FnMut(Instant, Timer) -> bool) {
+        self.0.retain(|Reverse((at, timer))| is_needed(*at, *timer));
+        self.0.shrink_to(2 * self.0.len());
+    }
+
     /// Returns the time of the next timer, or `None` if none is set.
     pub fn next_at(&self) -> Option<Instant> {
         self.0.peek().map(|Reverse((at, _))| *at)
--- a/tests/bounded_tables.rs
+++ b/tests/bounded_tables.rs
@@ -120,3 +120,40 @@
     let unplaced = host.scheduler.unplaced_request_count();
     assert!(unplaced <= 64, "{unplaced} requests for new objects, of which 10 wait");
 }
+
+/// Guards against memory that grows for an hour: clients send requests with an hour of time, which are answered at once. Each left its
+/// timers set until its deadline.
+#[test]
+fn timers_of_answered_requests_are_removed_before_their_deadline() {
+    let mut host = host_with_nodes(3);
+    host.time_left = 3600.0;
+    for i in 0..100_000 {
+        let id = host.submit(0, 2, 0, 1.0, (i % 3) as i32, i);
+        if host.poll_sends().contains(&(id, NodeId(i % 3))) {
+            host.end_attempt(id, 0, Outcome::Done, 0.0001);
+        }
+        host.now += 0.0001;
+    }
+    let timers = host.scheduler.timer_count();
+    assert!(timers <= 16_384, "{timers} timers");
+}
+
+/// Guards against queues that grow behind a request that is held: clients send requests with an hour of time behind one that its volume's
+/// limit holds, and leave. Each left its place in the queue and its timers until the first was over.
+#[test]
+fn requests_of_clients_that_left_are_removed_from_queues_behind_a_held_request() {
+    let mut host = host_with_nodes(1);
+    host.time_left = 3600.0;
+    let held = host.submit(1, 0, 0, 6.0, 0, 0);
+    for i in 1..100_000 {
+        let id = host.submit(1, 0, 0, 6.0, 0, i);
+        let now = host.instant();
+        host.scheduler.request_cancelled(now, id);
+        host.now += 0.000_01;
+    }
+    let (entries, timers) = (host.scheduler.queue_entry_count(), host.scheduler.timer_count());
+    assert!(entries <= 64 && timers <= 16_384, "{entries} places in queues, {timers} timers");
+    // The request that is held is sent once its volume's limit lets it, also after its other timers were removed.
+    let end = host.now + 10.0;
+    assert!(host.run_sends(end).iter().any(|(id, _)| *id == held), "the held request was forgotten");
+}
