Count open requests and unread answers as buffers, and hold bodies without slack

Cause: a body was collected in a buffer that grows by doubling, up to twice its length (crates/http/src/body.rs); the bound on buffers counted incomplete requests only, not open ones and unread answers (client_connections.rs). Evidence: a body of 64 KiB took 79,796 bytes in the test and the counter was 0 for an open request and an unread answer.

Change: the buffer of a body never exceeds the limit on bodies, and the bound counts what is held for a connection in any state.

Tests: memory_of_a_body_does_not_exceed_the_limit_on_bodies and open_requests_and_unread_answers_count_towards_the_bound_on_buffers; both fail without the change.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -68,6 +68,15 @@
         self.received
     }
 
+    /// Returns the bytes of memory that the body may take until it is complete.
+    pub(crate) fn reserved_len(&self) -> usize {
+        let may_take = match self.state {
+            State::Bytes(remaining) if !self.is_chunked => self.received.len() + remaining,
+            _ => self.max_len,
+        };
+        may_take.max(self.received.capacity())
+    }
+
     /// Removes the body's bytes from `buffer`. Returns the whole body once it is complete, and `None` until then.
     pub(crate) fn read(&mut self, buffer: &mut BytesMut) -> Result<Option<BytesMut>, MessageError> {
         loop {
@@ -89,6 +98,8 @@
     /// Returns the next state, or `None` while some of the `remaining` bytes are missing.
     fn read_bytes(&mut self, buffer: &mut BytesMut, remaining: usize) -> Option<State> {
         let count = remaining.min(buffer.len());
+        let expected = if self.is_chunked { count } else { remaining };
+        self.reserve(count, expected);
         self.received.extend_from_slice(&buffer[..count]);
         buffer.advance(count);
         if count < remaining {
@@ -98,12 +109,28 @@
         Some(if self.is_chunked { State::ChunkEnd } else { State::Done })
     }
 
+    /// Reserves capacity for `count` more bytes, of which `expected` are announced. The capacity never exceeds the limit on bodies:
+    /// amortized growth by the allocator would take up to twice as much, which shows as memory beyond what is counted.
+    fn reserve(&mut self, count: usize, expected: usize) {
+        let needed = self.received.len() + count;
+        if needed <= self.received.capacity() {
+            return;
+        }
+        let doubled = (2 * self.received.capacity()).min(self.max_len);
+        let capacity = doubled.max(self.received.len() + expected).max(needed);
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(&self.received);
+        self.received = grown;
+    }
+
     /// Reads all that is in the buffer. Returns no next state, as only the end of the connection completes the body.
     fn read_all(&mut self, buffer: &mut BytesMut) -> Result<Option<State>, MessageError> {
         if buffer.len() > self.available_len() {
             return Err(MessageError::BodyTooLong);
         }
-        self.received.unsplit(buffer.split());
+        self.reserve(buffer.len(), buffer.len());
+        self.received.extend_from_slice(buffer);
+        buffer.clear();
         Ok(None)
     }
 
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -6,6 +6,9 @@
 /// The minor version of HTTP/1.0, whose connections close after each message unless `Connection: keep-alive` is sent.
 pub(crate) const HTTP_1_0: u8 = 0;
 
+/// Approximate bytes of memory of one field beside its characters: two strings and the allocator's rounding of both.
+const FIELD_MEMORY_BYTES: usize = 112;
+
 /// The header fields of a message in the order received, with names in lower case and values without surrounding whitespace.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(Vec<(String, String)>);
@@ -19,6 +22,11 @@
         fields.iter().map(field).collect::<Result<_, _>>().map(Headers)
     }
 
+    /// Returns the approximate bytes of memory that the fields take, which for short fields is many times their length.
+    pub(crate) fn memory_len(&self) -> usize {
+        self.0.len() * FIELD_MEMORY_BYTES + self.0.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>()
+    }
+
     /// Returns all values of the field `name`, which is given in lower case.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.0.iter().filter(move |(n, _)| n == name).map(|(_, value)| value.as_str())
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -53,9 +53,12 @@
         self.buffer.len()
     }
 
-    /// Returns the bytes of memory to count for this reader: its buffer, and the limit on bodies while a body is incomplete.
+    /// Returns the bytes of memory to count for this reader: its buffer, and while a body is incomplete the parsed head and the limit on
+    /// bodies.
     pub fn reserved_len(&self) -> usize {
-        self.buffer.capacity() + self.incomplete.as_ref().map_or(0, |_| self.limits.max_body_len)
+        let incomplete = self.incomplete.as_ref();
+        self.buffer.capacity()
+            + incomplete.map_or(0, |(request, body)| request.headers.memory_len() + body.reserved_len())
     }
 
     /// Returns whether `100 Continue` is to be sent now. Returns `true` at most once for each request.
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -146,6 +146,32 @@
     }
 }
 
+/// Guards against twice the memory that is counted for a body: a buffer that the allocator grows by doubling, piece by piece, ends with
+/// almost twice the length of the largest body.
+#[test]
+fn memory_of_a_body_does_not_exceed_the_limit_on_bodies() {
+    let max = Limits::default().max_body_len;
+    let chunked = format!("{:x}\r\n{}\r\n0\r\n\r\n", max, "x".repeat(max));
+    let bodies = [
+        (format!("Content-Length: {max}\r\n"), "x".repeat(max)),
+        ("Transfer-Encoding: chunked\r\n".to_owned(), chunked),
+    ];
+    for (field, body) in bodies {
+        let mut reader = RequestReader::new(Limits::default());
+        let text = put(&field, &body);
+        let mut received = None;
+        for piece in text.as_bytes().chunks(10_000) {
+            reader.push(piece);
+            received = reader.next_request().unwrap();
+            let reserved = reader.reserved_len();
+            assert!(reserved <= max + 32 * 1024, "{field}: {reserved} bytes");
+        }
+        let body = received.unwrap().body.try_into_mut().unwrap();
+        assert_eq!(body.len(), max, "{field}");
+        assert!(body.capacity() <= max, "{field}: {} bytes of memory", body.capacity());
+    }
+}
+
 /// A response that ends at the wrong byte would give a client a truncated body, or bytes that belong to another response.
 #[test]
 fn response_ends_at_its_length() {
--- a/crates/platform-host/src/client_connection.rs
+++ b/crates/platform-host/src/client_connection.rs
@@ -57,7 +57,9 @@
     /// The time from which timeouts and eviction count: the last of accept, the first byte of a later request, the acceptance of a request,
     /// its answer, and the half-close.
     pub since: Instant,
-    /// Number of bytes that the reader holds, as last counted.
+    /// Number of bytes of the open request that the host holds until it is answered.
+    pub open_request_bytes: usize,
+    /// Number of bytes that are held for the connection, as last counted.
     pub buffered_bytes: usize,
 }
 
@@ -74,10 +76,16 @@
             lingered_bytes: 0,
             has_sent_request: false,
             since: now,
+            open_request_bytes: 0,
             buffered_bytes: 0,
         }
     }
 
+    /// Returns the number of bytes that are held for the connection: what its reader holds, its open request, and its unread answer.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.reader.reserved_len() + self.open_request_bytes + self.outgoing.capacity()
+    }
+
     /// Returns the eviction class, which ranks how much the client would lose if the connection were closed.
     pub(crate) fn eviction_class(&self, now: Instant) -> EvictionClass {
         let age = now - self.since;
--- a/crates/platform-host/src/client_connections.rs
+++ b/crates/platform-host/src/client_connections.rs
@@ -53,7 +53,7 @@
     /// Number of connections beyond `max_connections`, which only get a rejection.
     rejection_slots: usize,
     max_buffered_bytes: usize,
-    /// Number of bytes that the readers of all connections hold.
+    /// Number of bytes that are held for all connections.
     buffered_bytes: usize,
     /// The retry-after that rejected clients get; zero for none.
     retry_after: TimeDelta,
@@ -140,7 +140,7 @@
 
     fn update_buffered_bytes(&mut self, id: u32) {
         if let Some(client) = self.clients.get_mut(&id) {
-            let buffered_bytes = client.reader.reserved_len();
+            let buffered_bytes = client.held_bytes();
             self.buffered_bytes = self.buffered_bytes - client.buffered_bytes + buffered_bytes;
             client.buffered_bytes = buffered_bytes;
         }
@@ -156,14 +156,16 @@
         ClientEvent::Disconnected(self.remove(id))
     }
 
-    /// Records that a request was accepted; its connection now awaits the answer.
-    pub(crate) fn request_accepted(&mut self, now: Instant, id: u32, request: u32) {
+    /// Records that a request of `request_bytes` was accepted; its connection now awaits the answer.
+    pub(crate) fn request_accepted(&mut self, now: Instant, id: u32, request: u32, request_bytes: usize) {
         let is_reading = |client: &&mut ClientConnection| client.state == ConnectionState::Reading;
         if let Some(client) = self.clients.get_mut(&id).filter(is_reading) {
             client.state = ConnectionState::AwaitingResponse(request);
             client.has_sent_request = true;
             client.since = now;
+            client.open_request_bytes = request_bytes;
         }
+        self.update_buffered_bytes(id);
     }
 
     /// Writes the last answer on a connection, with the reason why the host closes it.
@@ -195,6 +197,8 @@
         let client = self.clients.get_mut(&id).filter(|client| !client.has_last_answer())?;
         let is_last = client.closes || self.is_shutting_down;
         let head = answer_head(status, body.len(), retry_after, is_last);
+        client.open_request_bytes = 0;
+        client.outgoing.reserve(head.len() + body.len());
         client.outgoing.extend_from_slice(head.as_bytes());
         client.outgoing.extend_from_slice(body);
         client.has_sent_request |= status == 200;
@@ -212,6 +216,7 @@
             client.half_close(now);
         }
         self.update_interest(poller, id);
+        self.update_buffered_bytes(id);
         None
     }
 
--- a/crates/platform-host/src/client_connections/tests.rs
+++ b/crates/platform-host/src/client_connections/tests.rs
@@ -44,7 +44,7 @@
     /// Connects a client that has received an answer and is idle.
     fn idle_client(&mut self, now: f64) -> (u32, TcpStream) {
         let (id, stream) = self.client(now);
-        self.clients.request_accepted(at(now), id, id);
+        self.clients.request_accepted(at(now), id, id, 0);
         assert!(self.clients.answer(at(now), &self.poller, id, 200, b"", None).is_none());
         (id, stream)
     }
@@ -100,7 +100,7 @@
 fn connection_beyond_capacity_is_answered_503_and_drained() {
     let mut fixture = Fixture::new(1);
     let (busy, _busy_client) = fixture.client(1.0);
-    fixture.clients.request_accepted(at(1.0), busy, 7);
+    fixture.clients.request_accepted(at(1.0), busy, 7, 0);
     let (rejected, mut client) = fixture.client(2.0);
     assert_eq!(fixture.state(rejected), ConnectionState::HalfClosed);
     // The request crosses the answer.
@@ -122,7 +122,7 @@
 fn disconnect_is_seen_behind_unread_bytes() {
     let mut fixture = Fixture::new(3);
     let (id, mut client) = fixture.client(1.0);
-    fixture.clients.request_accepted(at(1.0), id, 7);
+    fixture.clients.request_accepted(at(1.0), id, 7, 0);
     client.write_all(REQUEST).unwrap();
     fixture.wait_for_input(id);
     assert!(!fixture.clients.has_disconnected(id));
@@ -143,7 +143,7 @@
     let (idle, idle_client) = fixture.idle_client(1.0);
     let (requesting, mut requesting_client) = fixture.idle_client(1.0);
     let (busy, _busy_client) = fixture.client(1.0);
-    fixture.clients.request_accepted(at(1.0), busy, 7);
+    fixture.clients.request_accepted(at(1.0), busy, 7, 0);
     let (new, _new_client) = fixture.client(4.9);
     let (partial, mut partial_client) = fixture.idle_client(1.0);
     partial_client.write_all(&REQUEST[..9]).unwrap();
@@ -167,7 +167,7 @@
         fixture.clients.handle_ready(at(5.0), &fixture.poller, requesting, read(requesting)),
         Some(ClientEvent::Request(_))
     ));
-    fixture.clients.request_accepted(at(5.0), requesting, 8);
+    fixture.clients.request_accepted(at(5.0), requesting, 8, 0);
     fixture.clients.answer(at(5.0), &fixture.poller, requesting, 200, b"x", None);
     assert!(read_to_end(&requesting_client).ends_with("Content-Length: 1\r\nConnection: close\r\n\r\nx"));
     // In the phase Settled all other connections except the busy one are ended too.
@@ -214,7 +214,7 @@
 fn pipelined_bytes_are_read_ahead_and_kept_within_a_bound() {
     let mut fixture = Fixture::new(3);
     let (id, mut client) = fixture.client(1.0);
-    fixture.clients.request_accepted(at(1.0), id, 7);
+    fixture.clients.request_accepted(at(1.0), id, 7, 0);
     let ready = Ready { token: Token::ClientConnection(id), read: true, write: false, ended: false };
     let (mut sent, pipelined_too_much) = (0, |fixture: &Fixture| fixture.clients.counters.pipelined_too_much);
     let mut sent_before_bound = None;
@@ -254,7 +254,7 @@
         socket2::SockRef::from(&accepted).set_send_buffer_size(SMALL_BUFFER).unwrap();
         self.clients.accepted(at(now), &self.poller, accepted);
         let id = self.clients.last_id;
-        self.clients.request_accepted(at(now), id, id);
+        self.clients.request_accepted(at(now), id, id, 0);
         assert!(self.clients.answer(at(now), &self.poller, id, 200, LONG_ANSWER, None).is_none());
         assert!(!self.clients.clients[&id].outgoing.is_empty(), "the sockets hold the whole answer");
         (id, socket.into())
@@ -320,3 +320,31 @@
         assert!(received_bytes.len() < LONG_ANSWER.len(), "the whole answer was written");
     }
 }
+
+/// Guards against memory beyond the limit while many clients have large requests open, or do not read their answers: the bound on buffers
+/// counts both, so that further incomplete requests are rejected.
+#[test]
+fn open_requests_and_unread_answers_count_towards_the_bound_on_buffers() {
+    let mut fixture = Fixture::new(20);
+    let bound = fixture.clients.max_buffered_bytes;
+    let (open, _open_client) = fixture.client(1.0);
+    fixture.clients.request_accepted(at(1.0), open, 7, bound / 2);
+    let (unread, _unread_client) = fixture.client_with_unread_answer(1.0);
+    let held_bytes = fixture.clients.buffered_bytes;
+    assert!(
+        held_bytes > bound / 2 + fixture.clients.clients[&unread].outgoing.len() - 1,
+        "{held_bytes} bytes"
+    );
+    let (incomplete, mut client) = fixture.client(1.0);
+    client.write_all(&REQUEST[..9]).unwrap();
+    fixture.wait_for_input(incomplete);
+    assert!(fixture.handle_ready_sockets(1.0, Duration::ZERO).is_empty());
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    // Nothing is counted any more once the request is answered and the other connection has ended.
+    fixture.clients.answer(at(1.0), &fixture.poller, open, 200, b"", None);
+    fixture.clients.handle_disconnect(unread);
+    fixture.clients.handle_disconnect(incomplete);
+    assert_eq!(fixture.clients.buffered_bytes, 0);
+}
--- a/crates/platform-host/src/host/requests.rs
+++ b/crates/platform-host/src/host/requests.rs
@@ -90,7 +90,8 @@
 
     fn submit_call(&mut self, now: Instant, id: u32, call: Call) {
         self.last_request_number = self.last_request_number.wrapping_add(1);
-        self.clients.request_accepted(now, id, self.last_request_number);
+        let request_bytes = call.head.len() + call.body.len();
+        self.clients.request_accepted(now, id, self.last_request_number, request_bytes);
         self.request_ids.insert(id, call.id);
         let request = ObjectRequest {
             volume: call.volume,
