Remember the ids of requests that reached a node, whatever else is rejected

Cause: the table of finished ids held 4,096 of any kind for 5 s (request_ids.rs), so requests that are rejected at full speed displaced the ids that a node may still run. Evidence: on sockets, a non-idempotent request whose client left ran a second time after 5,000 rejected ones; the test got 502 and two requests at the node where 409 and one are expected. Ruled out: a reuse of the id while it is open or right after its end.

--- a/crates/platform-host/src/close_reason.rs
+++ b/crates/platform-host/src/close_reason.rs
@@ -9,6 +9,8 @@
     NoConnectionCapacity,
     /// The buffers of all client connections together are full, and the request on this one is incomplete.
     NoBufferCapacity,
+    /// The table of request ids is full of ids that must not be forgotten yet.
+    NoIdCapacity,
     /// The client's bytes are not a valid HTTP request.
     Malformed(MessageError),
     /// The request is valid HTTP, but this host does not serve it.
@@ -32,6 +34,7 @@
         match self {
             CloseReason::NoConnectionCapacity
             | CloseReason::NoBufferCapacity
+            | CloseReason::NoIdCapacity
             | CloseReason::UnconfirmedList
             | CloseReason::ShuttingDown => 503,
             CloseReason::Malformed(error) => error.status(),
@@ -44,7 +47,9 @@
     pub(crate) fn body(&self) -> String {
         match self {
             CloseReason::NoConnectionCapacity => "no room for the connection now".to_owned(),
-            CloseReason::NoBufferCapacity => "no room for the request now".to_owned(),
+            CloseReason::NoBufferCapacity | CloseReason::NoIdCapacity => {
+                "no room for the request now".to_owned()
+            }
             CloseReason::Malformed(error) => error.to_string(),
             CloseReason::Refused { why, .. } => why.clone(),
             CloseReason::RequestTimeout => "no whole request in time".to_owned(),
--- a/crates/platform-host/src/host/attempts.rs
+++ b/crates/platform-host/src/host/attempts.rs
@@ -37,6 +37,7 @@
     fn send_attempt(&mut self, now: Instant, pending: PendingAttempt) {
         self.check_client(now, pending.attempt.from.session);
         if !pending.attempt.ticket.is_withdrawn() {
+            self.request_ids.attempt_sent(pending.attempt.from.session);
             let to = self.node_address(pending.attempt.node);
             self.node_connections.send(now, &self.poller, to, pending, &mut self.attempt_results);
         }
--- a/crates/platform-host/src/host/requests.rs
+++ b/crates/platform-host/src/host/requests.rs
@@ -58,7 +58,7 @@
             self.handle_client_event(now, id, event);
             return self.queue_pipelined(id);
         }
-        match self.accept_call(request) {
+        match self.accept_call(now, request) {
             Ok(call) => self.submit_call(now, id, call),
             Err(reason) => {
                 let event = self.clients.close_with(now, &self.poller, id, &reason);
@@ -68,7 +68,7 @@
     }
 
     /// Parses the call in a request, and returns the reason to close the connection if this host does not serve the call now.
-    fn accept_call(&mut self, request: Request) -> Result<Call, CloseReason> {
+    fn accept_call(&mut self, now: Instant, request: Request) -> Result<Call, CloseReason> {
         if self.shutdown_phase >= ShutdownPhase::Settled {
             return Err(CloseReason::ShuttingDown);
         }
@@ -76,6 +76,9 @@
         if !self.may_serve_by_list() {
             return Err(CloseReason::UnconfirmedList);
         }
+        if !self.request_ids.has_capacity(now) {
+            return Err(CloseReason::NoIdCapacity);
+        }
         let (status, why) = match Call::parse(request, &self.settings) {
             Ok(call) if self.request_ids.is_in_use(&call.id) => {
                 (409, "x-call-id: that of another request; expected a fresh one".to_owned())
@@ -92,7 +95,7 @@
         self.last_request_number = self.last_request_number.wrapping_add(1);
         let request_bytes = call.head.len() + call.body.len();
         self.clients.request_accepted(now, id, self.last_request_number, request_bytes);
-        self.request_ids.insert(id, call.id);
+        self.request_ids.insert(id, &call.id);
         let request = ObjectRequest {
             volume: call.volume,
             plan: call.plan,
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -261,6 +261,36 @@
     assert_eq!(node.request_count(), 18 - waits);
 }
 
+/// Guards against a request that runs twice: its client leaves while the node has it, thousands of other requests are rejected, and the id
+/// comes again. The node may still run the first attempt, so the host must refuse the id.
+#[test]
+fn id_of_a_client_that_left_is_refused_after_many_rejected_requests() {
+    let (mut host, _endpoint_list, mut node) = default_fixture();
+    let mut client = host.client();
+    let text = host.request("once", 0, "x");
+    client.send(&text);
+    host.run_until("the request is at its node", |_| node.request_count() == 1);
+    drop(client);
+    host.run_until("its client has left", |host| host.status().core.commands_aborted == 1);
+    let mut others = host.client();
+    let mut answered = 0;
+    for _ in 0..100 {
+        let rejected = |host: &mut SteppedHost| {
+            let request = String::from_utf8(host.request("read", 0, "")).unwrap();
+            request.replace("X-Budget-Ms: 1500", "X-Budget-Ms: 0")
+        };
+        let batch: String = (0..50).map(|_| rejected(&mut host)).collect();
+        others.send(batch.as_bytes());
+        answered += 50;
+        host.run_until("the requests are rejected", |_| others.message_count() == answered);
+    }
+    assert!(others.statuses().iter().all(|status| *status == 503));
+    let mut again = host.client();
+    again.send(&text);
+    host.run_until("answered", |_| again.message_count() == 1);
+    assert_eq!((again.statuses(), node.request_count()), (vec![409], 1));
+}
+
 // Connections to nodes.
 
 /// Answers a request of the client and lets it send the next one, so that this one waits for the reuse delay. On a busy machine the delay
