Read all that a client has sent before an attempt of its request begins

Cause: the check before an attempt asked the system for the close (has_disconnected), which the system knows only once the bytes before it are read; at most 64 KiB of them were read in one iteration (client_connections/reading.rs), and one accept read up to 8 MiB. Evidence: two tests in tests/crossings.rs fail without the change (one request is sent after its client's close; 6 full sockets are read in 3 iterations). Ruled out: the check is missing on a path; each attempt runs it.

Change: drain_before_attempt reads everything before a request is accepted and before each attempt, at most 1 MiB an iteration over all connections; what can't be read yet waits. More than 16 MiB behind a request is refused with 400.

--- a/crates/platform-host/src/client_connection.rs
+++ b/crates/platform-host/src/client_connection.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use std::net::{Shutdown, TcpStream};
 use tackmast::interface::{Instant, TimeDelta};
-use tackmast_http::{Limits, RequestReader};
+use tackmast_http::{Limits, Request, RequestReader};
 
 /// Time that a new client has for its first request; well within the time that the platform allows for closing bad clients.
 const FIRST_REQUEST_TIMEOUT: TimeDelta = TimeDelta::from_millis(2500);
@@ -43,6 +43,10 @@
     pub stream: TcpStream,
     /// The parser of requests, which holds the bytes that were read ahead.
     pub reader: RequestReader,
+    /// A request that was received completely, until all that its client has sent behind it is read.
+    pub received_request: Option<Request>,
+    /// Number of bytes that were read behind the request that is open or received.
+    pub read_ahead_bytes: usize,
     /// The bytes that are still to be written.
     pub outgoing: BytesMut,
     /// The events that the poller waits for now.
@@ -69,6 +73,8 @@
         ClientConnection {
             stream,
             reader: RequestReader::new(Limits::default()),
+            received_request: None,
+            read_ahead_bytes: 0,
             outgoing: BytesMut::new(),
             interest: READ,
             state: ConnectionState::Reading,
@@ -83,7 +89,8 @@
 
     /// Returns the number of bytes that are held for the connection: what its reader holds, its open request, and its unread answer.
     pub(crate) fn held_bytes(&self) -> usize {
-        self.reader.reserved_len() + self.open_request_bytes + self.outgoing.capacity()
+        let received = self.received_request.as_ref().map_or(0, |request| request.body.len());
+        self.reader.reserved_len() + received + self.open_request_bytes + self.outgoing.capacity()
     }
 
     /// Returns the eviction class, which ranks how much the client would lose if the connection were closed.
@@ -92,7 +99,9 @@
         match self.state {
             ConnectionState::HalfClosed => EvictionClass::HalfClosed,
             ConnectionState::AwaitingResponse(_) | ConnectionState::Closing => EvictionClass::Busy,
-            ConnectionState::Reading if !self.outgoing.is_empty() => EvictionClass::Busy,
+            ConnectionState::Reading if !self.outgoing.is_empty() || self.received_request.is_some() => {
+                EvictionClass::Busy
+            }
             ConnectionState::Reading if !self.has_sent_request && age < NEW_CONNECTION_GRACE => {
                 EvictionClass::New
             }
@@ -172,7 +181,17 @@
 
     /// Returns whether no request is open or partly received, and no answer is being written.
     pub(crate) fn is_between_requests(&self) -> bool {
-        self.awaits_request() && !self.reader.has_partial_request()
+        self.awaits_request() && !self.has_input()
+    }
+
+    /// Returns whether a request is open, or was received completely.
+    pub(crate) fn has_complete_request(&self) -> bool {
+        matches!(self.state, ConnectionState::AwaitingResponse(_)) || self.received_request.is_some()
+    }
+
+    /// Returns whether at least a part of a request was received that is not open yet.
+    pub(crate) fn has_input(&self) -> bool {
+        self.received_request.is_some() || self.reader.has_partial_request()
     }
 
     /// Returns the socket events that the state waits for.
--- a/crates/platform-host/src/client_connections.rs
+++ b/crates/platform-host/src/client_connections.rs
@@ -3,6 +3,8 @@
 
 mod reading;
 
+pub(crate) use reading::InputEnd;
+
 use crate::client_connection::{ClientConnection, ConnectionState};
 use crate::close_reason::{CloseReason, ExceededTimeout};
 use crate::eviction::{eviction_order, EvictionCandidate};
@@ -24,6 +26,8 @@
 pub(crate) enum ClientEvent {
     /// A request was received.
     Request(Request),
+    /// A request was received, and its client may have sent more behind it that is read in the next iteration.
+    UnreadInput,
     /// The client has disconnected; the number of its open request, if it had one.
     Disconnected(Option<u32>),
 }
@@ -55,6 +59,9 @@
     max_buffered_bytes: usize,
     /// Number of bytes that are held for all connections.
     buffered_bytes: usize,
+    /// Number of bytes that may still be read behind requests in this iteration, so that clients that send without end do not delay
+    /// the others.
+    read_ahead_budget: usize,
     /// The retry-after that rejected clients get; zero for none.
     retry_after: TimeDelta,
     /// Whether the host is shutting down, so that each answer is the last on its connection.
@@ -75,6 +82,7 @@
             rejection_slots,
             max_buffered_bytes,
             buffered_bytes: 0,
+            read_ahead_budget: reading::MAX_READ_AHEAD_PER_ITERATION,
             retry_after,
             is_shutting_down: false,
             counters: ClientCounters::default(),
@@ -130,9 +138,15 @@
 
     /// Removes and thereby closes a connection. Returns the number of its open request, if it has one.
     fn remove(&mut self, id: u32) -> Option<u32> {
+        let open = self.open_request(id);
         let client = self.clients.remove(&id)?;
         self.buffered_bytes -= client.buffered_bytes;
-        match client.state {
+        open
+    }
+
+    /// Returns the number of the open request of a connection, if it has one.
+    pub(crate) fn open_request(&self, id: u32) -> Option<u32> {
+        match self.clients.get(&id)?.state {
             ConnectionState::AwaitingResponse(request) => Some(request),
             _ => None,
         }
@@ -146,7 +160,8 @@
         }
     }
 
-    /// Returns whether the client of a connection has disconnected, even if the poller has not reported it in this iteration.
+    /// Returns whether the client of a connection has disconnected, as far as the system knows, even if the poller has not reported it in
+    /// this iteration.
     pub(crate) fn has_disconnected(&self, id: u32) -> bool {
         self.clients.get(&id).is_none_or(|client| sockets::has_ended(&client.stream))
     }
@@ -164,6 +179,7 @@
             client.has_sent_request = true;
             client.since = now;
             client.open_request_bytes = request_bytes;
+            client.read_ahead_bytes = 0;
         }
         self.update_buffered_bytes(id);
     }
@@ -177,7 +193,7 @@
         reason: &CloseReason,
     ) -> Option<ClientEvent> {
         if let Some(client) = self.clients.get_mut(&id) {
-            client.closes = true;
+            (client.closes, client.received_request) = (true, None);
         }
         let status = reason.status();
         let retry_after = (status == 503 && self.retry_after > TimeDelta::ZERO).then_some(self.retry_after);
--- a/crates/platform-host/src/client_connections/reading.rs
+++ b/crates/platform-host/src/client_connections/reading.rs
@@ -9,10 +9,26 @@
 
 /// Share of the buffer memory that may be in use before bytes that are read ahead are no longer kept.
 const PIPELINED_BYTES_SHARE: f64 = 0.5;
-/// Maximum number of bytes that are read ahead on a connection in one iteration while its request is in flight.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Maximum number of bytes that are read behind a request before it is accepted; more than the socket buffers of both sides hold.
-const MAX_ACCEPT_READ_AHEAD_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum number of bytes that are read on a connection when it is ready while its request is in flight.
+const MAX_READ_AHEAD_WHEN_READY: usize = 64 * 1024;
+/// Maximum number of bytes that are read in one iteration before requests are accepted and before attempts begin, on all connections.
+pub(super) const MAX_READ_AHEAD_PER_ITERATION: usize = 1024 * 1024;
+/// Maximum number of bytes that a client may send behind a request; more than the socket buffers of both sides hold. Beyond it the host
+/// can't tell a close behind them from a client that sends without end, and begins no attempt.
+pub(crate) const MAX_READ_AHEAD_BYTES: usize = 16 * 1024 * 1024;
+
+/// What was found behind the request of a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum InputEnd {
+    /// All that the client has sent was read, and it has not closed the connection.
+    Drained,
+    /// More may be unread: the budget of the iteration is used up.
+    Unread,
+    /// The client has sent more than [`MAX_READ_AHEAD_BYTES`].
+    TooLong,
+    /// The client has closed the connection or its sending side.
+    Closed,
+}
 
 impl ClientConnections {
     /// Handles a ready socket of a connection.
@@ -46,8 +62,8 @@
     /// Reads one chunk from a connection, or more while a request is open.
     fn read(&mut self, now: Instant, poller: &Poller, id: u32) -> Option<ClientEvent> {
         let client = self.clients.get_mut(&id)?;
-        if let ConnectionState::AwaitingResponse(_) = client.state {
-            return self.read_ahead(id, MAX_READ_AHEAD_BYTES);
+        if client.has_complete_request() {
+            return self.read_ahead(id, MAX_READ_AHEAD_WHEN_READY);
         }
         let mut chunk = [0; sockets::READ_CHUNK_BYTES];
         match sockets::read(&client.stream, &mut chunk) {
@@ -62,22 +78,58 @@
         self.next_request(now, poller, id)
     }
 
-    /// Reads what a client has sent behind a request that is open or about to be accepted, until nothing is left or `max_bytes` are read.
-    /// A close is detected only after the bytes before it: if reading stopped, the close could stay behind them until the request is sent.
+    /// Starts an iteration of the event loop, which has a budget of its own for reading behind requests.
+    pub(crate) fn begin_iteration(&mut self) {
+        self.read_ahead_budget = MAX_READ_AHEAD_PER_ITERATION;
+    }
+
+    /// Reads what a client has sent behind a request that is open, at most `max_bytes`. A close is detected only after the bytes before it:
+    /// if reading stopped, the close could stay behind them until the request is sent.
     fn read_ahead(&mut self, id: u32, max_bytes: usize) -> Option<ClientEvent> {
+        let mut budget = max_bytes;
+        match self.drain_input(id, &mut budget) {
+            InputEnd::Closed => Some(self.handle_disconnect(id)),
+            InputEnd::Drained | InputEnd::Unread | InputEnd::TooLong => None,
+        }
+    }
+
+    /// Reads all that a client has sent behind its request, before an attempt of it begins. The poller may not have reported a close in this
+    /// iteration, and the close may be behind bytes that are not read yet.
+    pub(crate) fn drain_before_attempt(&mut self, id: u32) -> InputEnd {
+        if self.has_disconnected(id) {
+            return InputEnd::Closed;
+        }
+        let mut budget = self.read_ahead_budget;
+        let end = self.drain_input(id, &mut budget);
+        self.read_ahead_budget = budget;
+        end
+    }
+
+    /// Reads and keeps or discards the input of a connection until nothing is left or `budget`, which it reduces, is used up.
+    fn drain_input(&mut self, id: u32, budget: &mut usize) -> InputEnd {
         let mut chunk = [0; sockets::READ_CHUNK_BYTES];
-        let mut read_bytes = 0;
-        while read_bytes < max_bytes {
-            match sockets::read(&self.clients.get(&id)?.stream, &mut chunk) {
-                ReadOutcome::Nothing => return None,
-                ReadOutcome::End | ReadOutcome::Failed => return Some(self.handle_disconnect(id)),
+        loop {
+            let Some(client) = self.clients.get_mut(&id) else { return InputEnd::Closed };
+            if client.read_ahead_bytes > MAX_READ_AHEAD_BYTES {
+                return InputEnd::TooLong;
+            }
+            if *budget == 0 {
+                return if sockets::has_no_input(&client.stream) {
+                    InputEnd::Drained
+                } else {
+                    InputEnd::Unread
+                };
+            }
+            match sockets::read(&client.stream, &mut chunk) {
+                ReadOutcome::Nothing => return InputEnd::Drained,
+                ReadOutcome::End | ReadOutcome::Failed => return InputEnd::Closed,
                 ReadOutcome::Bytes(len) => {
-                    read_bytes += len;
+                    client.read_ahead_bytes += len;
+                    *budget = budget.saturating_sub(len);
                     self.keep_pipelined(id, &chunk[..len]);
                 }
             }
         }
-        None
     }
 
     /// Keeps bytes that were read ahead. Once the connection's buffer, or all buffers together, exceed a limit, the open request is the last
@@ -97,14 +149,16 @@
 
     /// Returns whether a connection without an open request has received at least a part of the next one.
     pub(crate) fn has_more(&self, id: u32) -> bool {
-        let has_more =
-            |client: &ClientConnection| client.awaits_request() && client.reader.has_partial_request();
+        let has_more = |client: &ClientConnection| client.awaits_request() && client.has_input();
         self.clients.get(&id).is_some_and(has_more)
     }
 
-    /// Parses the next request of a connection that has none open.
+    /// Returns the next request of a connection that has none open, once all that its client has sent behind it is read.
     pub(crate) fn next_request(&mut self, now: Instant, poller: &Poller, id: u32) -> Option<ClientEvent> {
         let client = self.clients.get_mut(&id).filter(|client| client.awaits_request())?;
+        if client.received_request.is_some() {
+            return self.accept_received(now, poller, id);
+        }
         let next = client.reader.next_request();
         if client.reader.take_expects_continue() {
             client.outgoing.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -113,10 +167,10 @@
         self.update_buffered_bytes(id);
         match next {
             Ok(Some(request)) => {
-                self.clients.get_mut(&id)?.closes = request.closes;
-                // The client may have closed the connection long ago, behind bytes that the host could not read until now.
-                let disconnected = self.read_ahead(id, MAX_ACCEPT_READ_AHEAD_BYTES);
-                disconnected.or(Some(ClientEvent::Request(request)))
+                let client = self.clients.get_mut(&id)?;
+                (client.closes, client.read_ahead_bytes) = (request.closes, 0);
+                client.received_request = Some(request);
+                self.accept_received(now, poller, id)
             }
             Ok(None) if self.buffered_bytes > self.max_buffered_bytes => {
                 self.counters.rejected += 1;
@@ -132,4 +186,22 @@
             }
         }
     }
+
+    /// Returns the request that a connection has received, unless its client has closed the connection behind it. If the budget of the
+    /// iteration is used up before that is certain, the request stays where it is.
+    fn accept_received(&mut self, now: Instant, poller: &Poller, id: u32) -> Option<ClientEvent> {
+        match self.drain_before_attempt(id) {
+            InputEnd::Drained => {
+                let request = self.clients.get_mut(&id)?.received_request.take()?;
+                Some(ClientEvent::Request(request))
+            }
+            InputEnd::Unread => Some(ClientEvent::UnreadInput),
+            InputEnd::TooLong => {
+                self.clients.get_mut(&id)?.received_request = None;
+                self.counters.bad += 1;
+                self.close_with(now, poller, id, &CloseReason::TooMuchInput)
+            }
+            InputEnd::Closed => Some(self.handle_disconnect(id)),
+        }
+    }
 }
--- a/crates/platform-host/src/client_connections/tests.rs
+++ b/crates/platform-host/src/client_connections/tests.rs
@@ -269,6 +269,7 @@
             match self.clients.handle_ready(at(now), &self.poller, id, socket) {
                 Some(ClientEvent::Request(request)) => requests.push(request),
                 Some(ClientEvent::Disconnected(_)) => panic!("client {id} has disconnected"),
+                Some(ClientEvent::UnreadInput) => panic!("client {id} has sent more than an iteration reads"),
                 None => {}
             }
         }
--- a/crates/platform-host/src/close_reason.rs
+++ b/crates/platform-host/src/close_reason.rs
@@ -11,6 +11,8 @@
     NoBufferCapacity,
     /// The table of request ids is full of ids that must not be forgotten yet.
     NoIdCapacity,
+    /// The client has sent more behind its request than the host reads before it begins an attempt.
+    TooMuchInput,
     /// The client's bytes are not a valid HTTP request.
     Malformed(MessageError),
     /// The request is valid HTTP, but this host does not serve it.
@@ -37,6 +39,7 @@
             | CloseReason::NoIdCapacity
             | CloseReason::UnconfirmedList
             | CloseReason::ShuttingDown => 503,
+            CloseReason::TooMuchInput => 400,
             CloseReason::Malformed(error) => error.status(),
             CloseReason::Refused { status, .. } => *status,
             CloseReason::RequestTimeout => 408,
@@ -50,6 +53,7 @@
             CloseReason::NoBufferCapacity | CloseReason::NoIdCapacity => {
                 "no room for the request now".to_owned()
             }
+            CloseReason::TooMuchInput => "too many bytes behind a request".to_owned(),
             CloseReason::Malformed(error) => error.to_string(),
             CloseReason::Refused { why, .. } => why.clone(),
             CloseReason::RequestTimeout => "no whole request in time".to_owned(),
--- a/crates/platform-host/src/host.rs
+++ b/crates/platform-host/src/host.rs
@@ -190,6 +190,7 @@
         reload: &mut impl FnMut() -> Result<Configuration, E>,
     ) -> bool {
         self.poller.wait(self.poll_wait(), ready);
+        self.clients.begin_iteration();
         for socket in ready.iter() {
             self.handle_ready_socket(*socket, reload);
         }
@@ -227,10 +228,16 @@
             Token::NodeConnection(id) => {
                 // The connection may just have been established. Whether the client has disconnected meanwhile is checked first;
                 // otherwise its request would be written to the node.
-                if let Some(client) = self.node_connections.connecting_client(id) {
-                    self.check_client(now, client);
-                }
-                self.node_connections.handle_ready(now, &self.poller, id, ready, &mut self.attempt_results);
+                let client = self.node_connections.connecting_client(id);
+                let may_begin = client.is_none_or(|client| self.check_client(now, client));
+                self.node_connections.handle_ready(
+                    now,
+                    &self.poller,
+                    id,
+                    ready,
+                    may_begin,
+                    &mut self.attempt_results,
+                );
                 self.report_attempt_results(now);
             }
             Token::ClientConnection(id) => {
--- a/crates/platform-host/src/host/attempts.rs
+++ b/crates/platform-host/src/host/attempts.rs
@@ -1,6 +1,8 @@
 //! Execution of the host core's outputs, and the results of attempts that are reported back to it.
 
 use super::Host;
+use crate::client_connections::InputEnd;
+use crate::close_reason::CloseReason;
 use crate::node_connection::PendingAttempt;
 use std::net::SocketAddr;
 use tackmast::interface::{Instant, NodeId, Outcome};
@@ -35,24 +37,45 @@
 
     /// Sends an attempt to its node, unless it was cancelled or its client has disconnected.
     fn send_attempt(&mut self, now: Instant, pending: PendingAttempt) {
-        self.check_client(now, pending.attempt.from.session);
-        if !pending.attempt.ticket.is_withdrawn() {
+        let may_begin = self.check_client(now, pending.attempt.from.session);
+        if !may_begin && !pending.attempt.ticket.is_withdrawn() {
+            self.node_connections.postpone(now, pending.attempt);
+        } else if !pending.attempt.ticket.is_withdrawn() {
             self.request_ids.attempt_sent(pending.attempt.from.session);
             let to = self.node_address(pending.attempt.node);
             self.node_connections.send(now, &self.poller, to, pending, &mut self.attempt_results);
         }
     }
 
-    /// Checks whether a client has disconnected, and aborts its request if so. A client may disconnect after the iteration began, or while
-    /// its request waits for a token bucket, a concurrency limit, a connection or its backoff. The poller reports that only in the
-    /// next iteration, before which the request could be sent. So this check runs whenever an attempt could begin.
-    pub(super) fn check_client(&mut self, now: Instant, client: u32) {
-        if self.clients.has_disconnected(client) {
-            let event = self.clients.handle_disconnect(client);
-            self.handle_client_event(now, client, Some(event));
+    /// Returns whether an attempt of a client's request may begin, and aborts the request if its client has disconnected. A client may
+    /// disconnect after the iteration began, or while its request waits for a token bucket, a concurrency limit, a connection or its
+    /// backoff, and the close may be behind bytes that are not read yet. So this check runs whenever an attempt could begin. The result is
+    /// `false` if the request was aborted, and while more of the client's bytes have to be read to know.
+    pub(super) fn check_client(&mut self, now: Instant, client: u32) -> bool {
+        match self.clients.drain_before_attempt(client) {
+            InputEnd::Drained => true,
+            InputEnd::Unread => false,
+            InputEnd::Closed => {
+                let event = self.clients.handle_disconnect(client);
+                self.handle_client_event(now, client, Some(event));
+                false
+            }
+            InputEnd::TooLong => {
+                self.refuse_open_request(now, client);
+                false
+            }
         }
     }
 
+    /// Aborts the open request of a client that has sent too many bytes behind it, and answers it with an error.
+    fn refuse_open_request(&mut self, now: Instant, client: u32) {
+        let open = self.clients.open_request(client);
+        self.abort_request(now, client, open);
+        self.refused += 1;
+        let event = self.clients.close_with(now, &self.poller, client, &CloseReason::TooMuchInput);
+        self.handle_client_event(now, client, event);
+    }
+
     fn node_address(&self, node: NodeId) -> Option<SocketAddr> {
         self.core.nodes().address(node).and_then(|address| address.parse().ok())
     }
--- a/crates/platform-host/src/host/requests.rs
+++ b/crates/platform-host/src/host/requests.rs
@@ -39,6 +39,7 @@
             None => {}
             Some(ClientEvent::Disconnected(open)) => self.abort_request(now, id, open),
             Some(ClientEvent::Request(request)) => self.handle_request(now, id, request),
+            Some(ClientEvent::UnreadInput) => self.pipelined_clients.push(id),
         }
     }
 
--- a/crates/platform-host/src/node_connections.rs
+++ b/crates/platform-host/src/node_connections.rs
@@ -156,9 +156,7 @@
                 self.counters.deadline_passed += 1;
                 results.push(unanswered(attempt.attempt, Outcome::Refused));
             }
-            connection.state = State::Idle;
-            poller.change(&connection.stream, Token::NodeConnection(id), READ);
-            return self.idle.put(now, connection.node, id);
+            return self.rest(now, poller, id);
         }
         let outgoing = request_bytes(now, connection.address, &attempt);
         self.by_attempt.insert(attempt.attempt, id);
@@ -167,6 +165,14 @@
         self.write(poller, id, results);
     }
 
+    /// Keeps an established connection that carries nothing.
+    fn rest(&mut self, now: Instant, poller: &Poller, id: u32) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.state = State::Idle;
+        poller.change(&connection.stream, Token::NodeConnection(id), READ);
+        self.idle.put(now, connection.node, id);
+    }
+
     fn write(&mut self, poller: &Poller, id: u32, results: &mut Vec<AttemptResult>) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let State::Busy { attempt, outgoing, .. } = &mut connection.state else { return };
@@ -181,13 +187,20 @@
         }
     }
 
-    /// Handles a ready socket of a connection.
+    /// Keeps an attempt that may not begin yet, and returns it from `next_delayed_attempt` after a while.
+    pub(crate) fn postpone(&mut self, now: Instant, attempt: SendAttempt) {
+        self.delayed.push((now + REUSE_DELAY, attempt));
+    }
+
+    /// Handles a ready socket of a connection. `may_begin` is whether an attempt that waits for this connection may begin; otherwise
+    /// nothing is written if the connection is established, and the attempt is postponed.
     pub(crate) fn handle_ready(
         &mut self,
         now: Instant,
         poller: &Poller,
         id: u32,
         ready: Ready,
+        may_begin: bool,
         results: &mut Vec<AttemptResult>,
     ) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -211,7 +224,12 @@
                 if let State::Connecting { attempt, .. } =
                     std::mem::replace(&mut connection.state, State::Idle)
                 {
-                    self.begin(now, poller, id, *attempt, results);
+                    if may_begin || attempt.ticket.is_withdrawn() {
+                        return self.begin(now, poller, id, *attempt, results);
+                    }
+                    self.by_attempt.remove(&attempt.attempt);
+                    self.rest(now, poller, id);
+                    self.postpone(now, *attempt);
                 }
             }
             State::Busy { .. } => {
--- a/crates/platform-host/src/node_connections/tests.rs
+++ b/crates/platform-host/src/node_connections/tests.rs
@@ -103,7 +103,7 @@
             self.poller.wait(Duration::from_millis(1), &mut ready);
             for socket in &ready {
                 let Token::NodeConnection(id) = socket.token else { panic!("{socket:?}") };
-                self.connections.handle_ready(at(now), &self.poller, id, *socket, &mut self.results);
+                self.connections.handle_ready(at(now), &self.poller, id, *socket, true, &mut self.results);
             }
         }
     }
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -234,6 +234,53 @@
     assert_eq!((node.request_count(), host.status().core.commands_aborted), (1, 1));
 }
 
+/// Guards against attempts for clients that have left: requests wait for a token bucket, and their clients send more than the sockets
+/// buffer and close. The host, which was paused, reads only a part of it before the bucket releases a request. No request may be sent
+/// while the close may be behind bytes that are not read.
+#[test]
+fn close_behind_unread_bytes_prevents_attempt_after_token_bucket() {
+    let plan = r#","ceiling_rate":4.0,"most_at_once":1.2,"slack":0.1"#;
+    let (mut host, _endpoint_list, mut node) = fixture(Settings { plan, ..Settings::default() });
+    let mut first = host.client();
+    let text = host.request("read", 0, "x");
+    first.send(&text);
+    host.run_until("the first is at its node", |_| node.request_count() == 1);
+    let mut waiting: Vec<RawConnection> = (0..3).map(|_| host.client()).collect();
+    for client in &mut waiting {
+        let text = host.request("once", 0, "x");
+        client.send(&text);
+    }
+    host.run_until("the others wait", |host| host.status().core.commands_received == 4);
+    for mut client in waiting {
+        send_until_sockets_are_full(&mut host, &mut client);
+        drop(client);
+    }
+    // No iteration runs until the bucket has refilled.
+    std::thread::sleep(Duration::from_millis(290));
+    host.run_until("all have left", |host| host.status().client_connections == 1);
+    host.run_for(0.1);
+    assert_eq!(node.request_count(), 1, "a request was sent after its client had closed");
+}
+
+/// Guards against a host that serves nobody else while clients send without end: however much is behind their requests, one iteration reads
+/// a bounded number of bytes of it.
+#[test]
+fn input_behind_requests_is_read_over_several_iterations() {
+    let (mut host, _endpoint_list, _node) = default_fixture();
+    let mut clients: Vec<RawConnection> = (0..6).map(|_| host.client()).collect();
+    for client in &mut clients {
+        send_until_sockets_are_full(&mut host, client);
+    }
+    drop(clients);
+    let mut iterations = 0;
+    host.run_until("all are closed", |host| {
+        iterations += 1;
+        accepted(&host.status()) == 6 && host.status().client_connections == 0
+    });
+    assert!(iterations > 6, "{iterations} iterations");
+    assert_eq!(host.status().core.commands_received, 0);
+}
+
 /// All connections to nodes are in use, and requests wait for one. The connections become free in the same iteration in which all clients
 /// close. The waiting requests must not be sent.
 #[test]
