--- a/crates/platform-host/src/client_connections/reading.rs
+++ b/crates/platform-host/src/client_connections/reading.rs
@@ -1,7 +1,7 @@
 //! Reading of client connections: requests, and what clients send while a request is open.
 
 use super::{ClientConnections, ClientEvent};
-use crate::client_connection::{ClientConnection, ConnectionState};
+use crate::client_connection::ClientConnection;
 use crate::close_reason::CloseReason;
 use crate::poller::{Poller, Ready};
 use crate::sockets::{self, ReadOutcome};
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -262,6 +262,24 @@
     assert_eq!(node.request_count(), 1, "a request was sent after its client had closed");
 }
 
+/// Guards against an attempt over a close that the host can't see: a client sends more behind its request than the sockets of both sides
+/// hold, faster than the host reads. The request must not be sent, and the client is owed an error.
+#[test]
+fn request_with_too_much_input_behind_it_is_refused() {
+    let (mut host, _endpoint_list, mut node) = default_fixture();
+    let mut client = host.client();
+    send_until_sockets_are_full(&mut host, &mut client);
+    let flood = vec![b'x'; 1 << 20];
+    host.run_until("answered", |_| {
+        if client.message_count() == 0 {
+            client.send(&flood);
+        }
+        client.message_count() == 1
+    });
+    assert_eq!(client.statuses(), [400]);
+    assert_eq!((node.received_byte_count(), host.status().core.commands_received), (0, 0));
+}
+
 /// Guards against a host that serves nobody else while clients send without end: however much is behind their requests, one iteration reads
 /// a bounded number of bytes of it.
 #[test]
