Keep the connections of clients that use them repeatedly when new ones arrive

Cause: a new client takes the place of a connection without input that is not busy; hostile ones always have input or a request open, so only usual clients' connections between two requests were closed (eviction_order, evict_one). Ruled out: long iterations (waits with an answer were short) and the bound on memory (the same with small requests).

Change: a connection with two accepted requests or more is established, and is not closed for a new client while such connections hold at most half of the capacity.

Test: established_connection_is_not_evicted_for_a_new_client (fails without the change).

--- a/crates/platform-host/src/client_connection.rs
+++ b/crates/platform-host/src/client_connection.rs
@@ -1,7 +1,7 @@
 //! One client connection: its state, its limits, and the socket events that it waits for.
 
 use crate::close_reason::ExceededTimeout;
-use crate::eviction::{EvictionClass, IDLE_AFTER, NEW_CONNECTION_GRACE};
+use crate::eviction::{EvictionClass, ESTABLISHED_AFTER_REQUESTS, IDLE_AFTER, NEW_CONNECTION_GRACE};
 use crate::poller::{Interest, BOTH, READ, WRITE};
 use crate::shutdown_schedule::ShutdownPhase;
 use crate::sockets;
@@ -58,6 +58,8 @@
     pub lingered_bytes: usize,
     /// Whether the client has sent a valid request.
     pub has_sent_request: bool,
+    /// Number of requests that were accepted on the connection.
+    pub accepted_requests: u32,
     /// The time from which timeouts and eviction count: the last of accept, the first byte of a later request, the acceptance of a request,
     /// its answer, and the half-close.
     pub since: Instant,
@@ -81,6 +83,7 @@
             closes: false,
             lingered_bytes: 0,
             has_sent_request: false,
+            accepted_requests: 0,
             since: now,
             open_request_bytes: 0,
             buffered_bytes: 0,
@@ -95,6 +98,17 @@
 
     /// Returns the eviction class, which ranks how much the client would lose if the connection were closed.
     pub(crate) fn eviction_class(&self, now: Instant) -> EvictionClass {
+        let is_established = self.accepted_requests >= ESTABLISHED_AFTER_REQUESTS;
+        match self.progress(now) {
+            EvictionClass::RecentlyUsed | EvictionClass::MidRequest if is_established => {
+                EvictionClass::Established
+            }
+            progress => progress,
+        }
+    }
+
+    /// Returns the eviction class without regard to earlier requests.
+    fn progress(&self, now: Instant) -> EvictionClass {
         let age = now - self.since;
         match self.state {
             ConnectionState::HalfClosed => EvictionClass::HalfClosed,
@@ -118,7 +132,7 @@
         // A request in flight is ended by its own deadline.
         let is_writing =
             !self.outgoing.is_empty() && !matches!(self.state, ConnectionState::AwaitingResponse(_));
-        match self.eviction_class(now) {
+        match self.progress(now) {
             EvictionClass::HalfClosed if age >= LINGER_TIMEOUT => Some(ExceededTimeout::Linger),
             EvictionClass::Silent if age >= FIRST_REQUEST_TIMEOUT => Some(ExceededTimeout::Request),
             EvictionClass::MidRequest if age >= REQUEST_TIMEOUT => Some(ExceededTimeout::Request),
@@ -132,7 +146,7 @@
     /// client would lose.
     pub(crate) fn is_half_closed_by(&self, phase: ShutdownPhase, now: Instant) -> bool {
         let is_settled = phase >= ShutdownPhase::Settled;
-        let is_new = self.eviction_class(now) == EvictionClass::New;
+        let is_new = self.progress(now) == EvictionClass::New;
         self.is_between_requests() && (is_settled || !is_new && sockets::has_no_input(&self.stream))
     }
 
--- a/crates/platform-host/src/client_connections.rs
+++ b/crates/platform-host/src/client_connections.rs
@@ -127,7 +127,7 @@
             class: client.eviction_class(now),
             since: client.since,
         });
-        let order = eviction_order(candidates);
+        let order = eviction_order(candidates, self.max_connections);
         let has_no_input =
             |id: &u32| self.clients.get(id).is_some_and(|client| sockets::has_no_input(&client.stream));
         let Some(id) = order.into_iter().find(has_no_input) else { return false };
@@ -177,6 +177,7 @@
         if let Some(client) = self.clients.get_mut(&id).filter(is_reading) {
             client.state = ConnectionState::AwaitingResponse(request);
             client.has_sent_request = true;
+            client.accepted_requests = client.accepted_requests.saturating_add(1);
             client.since = now;
             client.open_request_bytes = request_bytes;
             client.read_ahead_bytes = 0;
--- a/crates/platform-host/src/client_connections/tests.rs
+++ b/crates/platform-host/src/client_connections/tests.rs
@@ -349,3 +349,26 @@
     fixture.clients.handle_disconnect(incomplete);
     assert_eq!(fixture.clients.buffered_bytes, 0);
 }
+
+/// Guards against hostile clients that shut out usual ones: while their connections have bytes in the socket or a request open, the only
+/// connection that could be closed for the next of them is that of a client which uses it again and again.
+#[test]
+fn established_connection_is_not_evicted_for_a_new_client() {
+    let mut fixture = Fixture::new(3);
+    let (established, _client) = fixture.idle_client(1.0);
+    fixture.clients.request_accepted(at(1.1), established, 8, 0);
+    assert!(fixture.clients.answer(at(1.1), &fixture.poller, established, 200, b"", None).is_none());
+    let mut hostile: Vec<(u32, TcpStream)> = (0..2).map(|_| fixture.client(1.2)).collect();
+    for (id, stream) in &mut hostile {
+        stream.write_all(b"GET ").unwrap();
+        fixture.wait_for_input(*id);
+    }
+    let (_, mut rejected) = fixture.client(1.3);
+    let mut answer = String::new();
+    rejected.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(fixture.contains(established), "the established connection was closed");
+    // Once it is idle for long, it makes room as before, after the half-closed one.
+    let _clients: Vec<_> = (0..2).map(|_| fixture.client(3.2)).collect();
+    assert!(!fixture.contains(established));
+}
--- a/crates/platform-host/src/eviction/tests.rs
+++ b/crates/platform-host/src/eviction/tests.rs
@@ -21,12 +21,19 @@
             Some(2),
         ),
         ("mid-request before busy", vec![(1, MidRequest, 2.0), (2, Busy, 0.0)], Some(1)),
+        ("mid-request before established", vec![(1, Established, 0.0), (2, MidRequest, 2.0)], Some(2)),
+        ("one established of three", vec![(1, Established, 0.0), (2, Busy, 2.0), (3, Busy, 2.0)], None),
+        (
+            "two established of three",
+            vec![(1, Established, 1.0), (2, Established, 0.0), (3, Busy, 2.0)],
+            Some(2),
+        ),
     ];
     for (name, connections, expected) in cases {
         let candidates = connections.into_iter().map(|(id, class, since_secs)| {
             let since = Instant::from_secs(since_secs);
             EvictionCandidate { id, class, since }
         });
-        assert_eq!(eviction_order(candidates).first().copied(), expected, "{name}");
+        assert_eq!(eviction_order(candidates, 3).first().copied(), expected, "{name}");
     }
 }
