Let hundreds of clients connect before the host accepts them

Callers saw: a client that connects anew for each request waited 1 to 4.1 s beside 300 hostile clients that reconnect at once, and had 5 answers in 6 s.

Cause: a listener of the standard library has a backlog of 128; beyond it the system drops the first packet of a client, which is repeated after 1 s and 2 s. Evidence: the waits, and the test, which failed at client 129 of 400.

Change: a backlog of 4,096. Test: hundreds_of_connections_are_established_before_the_host_accepts_any.

--- a/crates/platform-host/src/host.rs
+++ b/crates/platform-host/src/host.rs
@@ -19,6 +19,7 @@
 use crate::request_ids::RequestIds;
 use crate::resource_budget::ResourceBudget;
 use crate::shutdown_schedule::{ShutdownPhase, ShutdownSchedule};
+use crate::sockets;
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::net::{SocketAddr, TcpListener};
@@ -289,8 +290,7 @@
 }
 
 fn bind_listener(address: SocketAddr, poller: &Poller) -> std::io::Result<TcpListener> {
-    let listener = TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
+    let listener = sockets::listen(address)?;
     poller.add(&listener, Token::Listener, READ)?;
     Ok(listener)
 }
--- a/crates/platform-host/src/sockets.rs
+++ b/crates/platform-host/src/sockets.rs
@@ -3,11 +3,25 @@
 use bytes::{Buf, BytesMut};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// Number of established connections that may wait to be accepted; the system may allow fewer. Beyond it the system drops the first
+/// packet of a client, which then waits for a second or more.
+const LISTEN_BACKLOG: i32 = 4096;
 
 /// Maximum number of bytes read from one socket in one iteration.
 pub(crate) const READ_CHUNK_BYTES: usize = 16 * 1024;
 
+/// Opens a nonblocking listener.
+pub(crate) fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// Starts a nonblocking connect. The socket becomes writable once it is connected or the connect has failed.
 pub(crate) fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(to), socket2::Type::STREAM, None)?;
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -1006,6 +1006,26 @@
     host.run_until("the list is polled", |_| back.request_count() == 1);
 }
 
+/// Guards against waits of a second and more: hundreds of clients connect before the host accepts any of them. If the listener's backlog
+/// were full, the system would drop the first packets of the others, which are repeated after a second.
+#[test]
+fn hundreds_of_connections_are_established_before_the_host_accepts_any() {
+    let (mut host, _endpoint_list, _node) = default_fixture();
+    let system_limit = std::fs::read_to_string("/proc/sys/net/core/somaxconn").unwrap();
+    let count = 400.min(system_limit.trim().parse().unwrap());
+    let address = host.status().listen_address.unwrap();
+    let clients: Vec<TcpStream> = (0..count)
+        .map(|number| {
+            let connected = TcpStream::connect_timeout(&address, Duration::from_millis(900));
+            connected.unwrap_or_else(|error| panic!("client {number} of {count}: {error}"))
+        })
+        .collect();
+    host.run_until("all are accepted or rejected", |host| {
+        let counters = host.status().client_counters;
+        counters.accepted + counters.rejected >= clients.len() as u64
+    });
+}
+
 // Invalid input.
 
 /// A client sends a part of a request and closes, in order or with a reset. The host must close the connection at once and send nothing to
