Read on behind an open request without end, and never read the next one as such

Beyond 16 MiB behind a request in flight the host stopped reading (drain_input), so the client's close was never seen and the event loop would spin. An attempt that was withdrawn and is due made the host read the client's next request as input behind an earlier one, which may be discarded.

--- a/crates/platform-host/src/client_connections/reading.rs
+++ b/crates/platform-host/src/client_connections/reading.rs
@@ -24,7 +24,7 @@
     Drained,
     /// More may be unread: the budget of the iteration is used up.
     Unread,
-    /// The client has sent more than [`MAX_READ_AHEAD_BYTES`].
+    /// More may be unread, and the client has sent more than [`MAX_READ_AHEAD_BYTES`].
     TooLong,
     /// The client has closed the connection or its sending side.
     Closed,
@@ -99,10 +99,18 @@
         if self.has_disconnected(id) {
             return InputEnd::Closed;
         }
+        // The request of an attempt that was withdrawn may be over, and the client may be sending its next one.
+        if !self.clients.get(&id).is_some_and(ClientConnection::has_complete_request) {
+            return InputEnd::Drained;
+        }
         let mut budget = self.read_ahead_budget;
         let end = self.drain_input(id, &mut budget);
         self.read_ahead_budget = budget;
-        end
+        let read_ahead_bytes = self.clients.get(&id).map_or(0, |client| client.read_ahead_bytes);
+        match end {
+            InputEnd::Unread if read_ahead_bytes > MAX_READ_AHEAD_BYTES => InputEnd::TooLong,
+            end => end,
+        }
     }
 
     /// Reads and keeps or discards the input of a connection until nothing is left or `budget`, which it reduces, is used up.
@@ -110,9 +118,6 @@
         let mut chunk = [0; sockets::READ_CHUNK_BYTES];
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return InputEnd::Closed };
-            if client.read_ahead_bytes > MAX_READ_AHEAD_BYTES {
-                return InputEnd::TooLong;
-            }
             if *budget == 0 {
                 return if sockets::has_no_input(&client.stream) {
                     InputEnd::Drained
--- a/crates/platform-host/src/client_connections/tests.rs
+++ b/crates/platform-host/src/client_connections/tests.rs
@@ -372,3 +372,15 @@
     let _clients: Vec<_> = (0..2).map(|_| fixture.client(3.2)).collect();
     assert!(!fixture.contains(established));
 }
+
+/// Guards against a request that is read as if it were behind another: an attempt of an earlier request was withdrawn and is due, and the
+/// client sends its next request. Bytes behind an open request may be discarded.
+#[test]
+fn next_request_is_not_read_as_input_behind_an_earlier_one() {
+    let mut fixture = Fixture::new(3);
+    let (id, mut client) = fixture.idle_client(1.0);
+    client.write_all(&REQUEST[..9]).unwrap();
+    fixture.wait_for_input(id);
+    assert_eq!(fixture.clients.drain_before_attempt(id), InputEnd::Drained);
+    assert!(!sockets::has_no_input(&fixture.clients.clients[&id].stream), "the bytes were read");
+}
--- a/crates/platform-host/tests/crossings.rs
+++ b/crates/platform-host/tests/crossings.rs
@@ -280,6 +280,24 @@
     assert_eq!((node.received_byte_count(), host.status().core.commands_received), (0, 0));
 }
 
+/// Guards against a close that is never seen: a client sends more than the host would read before an attempt, while its request is at a
+/// node, and then closes.
+#[test]
+fn close_behind_too_much_input_is_detected_while_a_request_is_in_flight() {
+    let (mut host, _endpoint_list, mut node) = default_fixture();
+    let mut client = host.client();
+    let text = host.request("once", 0, "x");
+    client.send(&text);
+    host.run_until("the request is at its node", |_| node.request_count() == 1);
+    let (flood, mut sent) = (vec![b'x'; 1 << 20], 0);
+    host.run_until("much is sent", |_| {
+        sent += client.send(&flood);
+        sent > 20 << 20
+    });
+    drop(client);
+    host.run_until("its request is aborted", |host| host.status().core.commands_aborted == 1);
+}
+
 /// Guards against a host that serves nobody else while clients send without end: however much is behind their requests, one iteration reads
 /// a bounded number of bytes of it.
 #[test]
